--- a/internal/cmdln/keycmd.go
+++ b/internal/cmdln/keycmd.go
@@ -9,10 +9,10 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/edits"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/pkg/rows"
+	"github.com/wasabibend/wasabibend/platform/objs"
 )
 
 // hashShown is the number of digits of a hash by which a key is named.
@@ -28,7 +28,7 @@
 
 func runKeyGrant(ctx context.Context, c *console, args []string) error {
 	flags := newFlags(c, "key grant", "CUSTOMER")
-	platform := flags.String("platform", "", "the `URL` of the platform's object API")
+	address := flags.String("platform", "", "the `URL` of the platform's object API")
 	if err := parse(flags, args, 1, 1); err != nil {
 		return err
 	}
@@ -37,7 +37,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key, err := edits.New(store.NewHTTP(*platform)).GrantKey(ctx, time.Now(), flags.Arg(0))
+	key, err := edits.New(objs.New(*address)).GrantKey(ctx, time.Now(), flags.Arg(0))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -47,13 +47,13 @@
 
 func runKeyList(ctx context.Context, c *console, args []string) error {
 	flags := newFlags(c, "key list", "")
-	platform := flags.String("platform", "", "the `URL` of the platform's object API")
+	address := flags.String("platform", "", "the `URL` of the platform's object API")
 	if err := parse(flags, args, 0, 0); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	keys, err := edits.New(store.NewHTTP(*platform)).Keys(ctx)
+	keys, err := edits.New(objs.New(*address)).Keys(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -71,13 +71,13 @@
 
 func runKeyWithdraw(ctx context.Context, c *console, args []string) error {
 	flags := newFlags(c, "key withdraw", "KEY|HASH")
-	platform := flags.String("platform", "", "the `URL` of the platform's object API")
+	address := flags.String("platform", "", "the `URL` of the platform's object API")
 	if err := parse(flags, args, 1, 1); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	editor := edits.New(store.NewHTTP(*platform))
+	editor := edits.New(objs.New(*address))
 	hash, err := findHash(ctx, editor, flags.Arg(0))
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/cmdln/nodecmd.go
+++ b/internal/cmdln/nodecmd.go
@@ -9,6 +9,8 @@
 
 	"github.com/wasabibend/wasabibend/internal/process/node"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
+	"github.com/wasabibend/wasabibend/platform"
+	"github.com/wasabibend/wasabibend/platform/objs"
 )
 
 func runNode(ctx context.Context, c *console, args []string) error {
@@ -24,7 +26,7 @@
 	runtime.GOMAXPROCS(settings.Procs)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(c.err).With().Timestamp().Logger()
-	n, err := node.New(settings, Version, log)
+	n, err := node.New(settings, Version, log, objs.New(settings.Platform), platform.Options(settings)...)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/cmdln/tablecmd.go
+++ b/internal/cmdln/tablecmd.go
@@ -14,6 +14,7 @@
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/edits"
 	"github.com/wasabibend/wasabibend/pkg/rows"
+	"github.com/wasabibend/wasabibend/platform/objs"
 )
 
 func runTable(ctx context.Context, c *console, args []string) error {
@@ -38,12 +39,12 @@
 // openTable parses the flags of a verb.
 func openTable(c *console, verb, operands string, args []string, least, most int) (*tableCall, error) {
 	flags := newFlags(c, "table "+verb, operands)
-	platform := flags.String("platform", "", "the `URL` of the platform's object API")
+	address := flags.String("platform", "", "the `URL` of the platform's object API")
 	base := flags.Uint64("version", 0, "the row's `version` that the edit is based on; 0 for any")
 	if err := parse(flags, args, least, most); err != nil {
 		return nil, err
 	}
-	return &tableCall{base: *base, editor: edits.New(store.NewHTTP(*platform)), rest: flags.Args()}, nil
+	return &tableCall{base: *base, editor: edits.New(objs.New(*address)), rest: flags.Args()}, nil
 }
 
 func runTableDelete(ctx context.Context, c *console, args []string) error {
--- a/internal/cmds/bench/main.go
+++ b/internal/cmds/bench/main.go
@@ -22,9 +22,9 @@
 	"github.com/gravitational/trace"
 
 	"github.com/wasabibend/wasabibend/internal/fakes/procs"
-	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/edits"
 	"github.com/wasabibend/wasabibend/pkg/rows"
+	"github.com/wasabibend/wasabibend/platform/objs"
 )
 
 const (
@@ -109,7 +109,7 @@
 
 // configure sets a row that bounds nothing and grants a key.
 func (b *bench) configure(ctx context.Context) error {
-	editor := edits.New(store.NewHTTP(b.fleet.URL))
+	editor := edits.New(objs.New(b.fleet.URL))
 	if _, err := editor.SetRow(ctx, time.Now(), "* /ledger", "amis", 0, func(row *rows.Row) error {
 		row.Rate, row.Burst = unbounded, unbounded
 		return nil
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -9,6 +9,9 @@
 	"github.com/sourcegraph/conc"
 )
 
+// errStray means that the connection carries answers to other requests.
+var errStray = errors.New("the answer is for another request")
+
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	call     *Call
@@ -27,6 +30,7 @@
 	if err := e.send(); err != nil {
 		return nil, err
 	}
+	strays := 0
 	for range maxInterim {
 		if err := e.bound(); err != nil {
 			return nil, err
@@ -40,13 +44,30 @@
 			e.goAhead.open()
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("the answer switches protocols")
-		case response.StatusCode >= http.StatusOK:
+		case response.StatusCode < http.StatusOK:
+		case e.call.Accept == nil || e.call.Accept(response):
 			return e.accept(response)
+		default:
+			if strays++; strays > maxStray {
+				return nil, errStray
+			}
+			if err := e.pass(response); err != nil {
+				return nil, err
+			}
 		}
 	}
 	return nil, errors.New("too many interim answers")
 }
 
+// pass reads an answer to another request and drops it.
+func (e *exchange) pass(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.Close {
+		return errStray
+	}
+	_, err := io.Copy(io.Discard, response.Body)
+	return err
+}
+
 // bound sets the time until which the next head or interim answer must come.
 func (e *exchange) bound() error {
 	return e.conn.SetReadDeadline(e.until(e.call.Silence))
@@ -91,7 +112,7 @@
 // accept checks the framing of the final answer and hands its body over.
 func (e *exchange) accept(response *http.Response) (*http.Response, error) {
 	bodyless := response.ContentLength == 0 || response.Request.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !bodyless {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !bodyless && !e.call.Unframed {
 		return nil, ErrUnframed
 	}
 	e.response = response
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -21,6 +21,7 @@
 	dialTimeout = time.Second
 	maxIdle     = 64 // connections to one address
 	maxInterim  = 100000
+	maxStray    = 4 // answers to other requests that are passed over
 	// maxIdleTime is less than the time after which servers close idle
 	// connections. A connection that is used again answered this recently.
 	maxIdleTime = 3 * time.Second
@@ -60,6 +61,9 @@
 	// Request is sent as it is. Its body is read in another goroutine, which may
 	// be in a Read when the answer is closed.
 	Request *http.Request
+	// Accept reports whether an answer is the one to the request, by its head.
+	// One that is not is passed over, and the next is awaited. It may be nil.
+	Accept func(response *http.Response) bool
 	// AwaitContinue holds the body back until the other side asks for it.
 	AwaitContinue bool
 	// Deadline bounds the wait for the whole answer.
@@ -71,6 +75,9 @@
 	Silence time.Duration
 	// To is the address to send to.
 	To netip.AddrPort
+	// Unframed takes an answer without a length or chunks as whole when the
+	// other side ends the connection in order.
+	Unframed bool
 }
 
 // Pool keeps idle connections. Its lock is a leaf.
--- a/internal/fakes/objapi/objapi.go
+++ b/internal/fakes/objapi/objapi.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,9 +15,20 @@
 
 	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/platform/objs"
 )
 
-const watchWait = 5 * time.Second
+// Paths of the objects.
+const (
+	pathKind = objs.PathObjects + ":kind"
+	pathName = pathKind + "/:name"
+)
+
+// maxWait bounds how long a call awaits changes.
+const maxWait = 30 * time.Second
+
+// pageSize is the number of objects in a page of a listing.
+const pageSize = 500
 
 // Faults are the faults that the stand-in shows.
 type Faults struct {
@@ -29,6 +39,8 @@
 	// LoseAnswers drops the answers to this many next changes after they took
 	// effect.
 	LoseAnswers int
+	// Forget is the revision up to which changes are not known any more.
+	Forget uint64
 	// Rate bounds the calls a second; 0 means no bound.
 	Rate int
 }
@@ -55,11 +67,13 @@
 // New returns an empty stand-in.
 func New() *Server {
 	s := &Server{changed: make(chan struct{}), objects: make(map[string]store.Object), router: httprouter.New()}
-	s.router.GET("/objects/*key", s.admit(s.get, func(c *Counts) *int { return &c.Reads }))
-	s.router.GET("/objects", s.admit(s.list, func(c *Counts) *int { return &c.Reads }))
-	s.router.PUT("/objects/*key", s.admit(s.change, func(c *Counts) *int { return &c.Writes }))
-	s.router.DELETE("/objects/*key", s.admit(s.change, func(c *Counts) *int { return &c.Writes }))
-	s.router.GET("/watch", s.admit(s.watch, func(c *Counts) *int { return &c.Watches }))
+	reads := func(c *Counts) *int { return &c.Reads }
+	writes := func(c *Counts) *int { return &c.Writes }
+	s.router.GET(pathKind, s.list)
+	s.router.POST(pathKind, s.admit(s.create, writes))
+	s.router.GET(pathName, s.admit(s.get, reads))
+	s.router.PUT(pathName, s.admit(s.replace, writes))
+	s.router.DELETE(pathName, s.admit(s.remove, writes))
 	s.router.GET("/counts", s.showCounts)
 	s.router.PUT("/faults", s.putFaults)
 	return s
@@ -124,40 +138,83 @@
 		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, object)
+	writeJSON(w, objs.ToObject(object))
 }
 
-func (s *Server) list(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+// list answers a call for the objects of a kind, or for their changes.
+func (s *Server) list(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	next, count := s.listPage, func(c *Counts) *int { return &c.Reads }
+	if r.URL.Query().Has(objs.QueryWatch) {
+		next, count = s.watch, func(c *Counts) *int { return &c.Watches }
+	}
+	s.admit(next, count)(w, r, params)
+}
+
+func (s *Server) listPage(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	s.mu.Lock()
-	listing := s.changes(r.URL.Query().Get("Prefix"), 0)
+	listing := s.changes(params.ByName("kind")+"/", 0)
 	s.mu.Unlock()
-	listing.Objects = slices.DeleteFunc(listing.Objects, func(o store.Object) bool { return o.Value == nil })
-	writeJSON(w, listing)
+	page := objs.Listing{Revision: listing.Revision}
+	for _, stored := range listing.Objects {
+		object := objs.ToObject(stored)
+		if stored.Value == nil || object.Metadata.Name <= r.URL.Query().Get(objs.QueryAfter) {
+			continue
+		}
+		if page.More = len(page.Items) == pageSize; page.More {
+			break
+		}
+		page.Items = append(page.Items, object)
+	}
+	writeJSON(w, page)
 }
 
-func (s *Server) change(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	expected, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
-	if err != nil {
-		http.Error(w, "If-Match is missing", http.StatusBadRequest)
+// create makes the object that a body names.
+func (s *Server) create(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	var object objs.Object
+	if !readObject(w, r, &object) {
 		return
 	}
-	var value []byte
-	if r.Method == http.MethodPut {
-		value, err = io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValue))
-		if err != nil {
-			http.Error(w, "the value is too large", http.StatusRequestEntityTooLarge)
-			return
-		}
+	key := objs.FromObject(params.ByName("kind"), &object).Key
+	s.change(w, key, object.Spec, 0)
+}
+
+// replace replaces an object at the revision that a body names.
+func (s *Server) replace(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	var object objs.Object
+	if readObject(w, r, &object) {
+		s.change(w, objectKey(params), object.Spec, object.Metadata.Revision)
 	}
-	object, lost, ok := s.apply(objectKey(params), value, expected)
+}
+
+// remove removes an object at the revision that the query names.
+func (s *Server) remove(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	expected, err := strconv.ParseUint(r.URL.Query().Get(objs.QueryRevision), 10, 64)
+	if err != nil {
+		http.Error(w, "the revision is missing", http.StatusBadRequest)
+		return
+	}
+	s.change(w, objectKey(params), nil, expected)
+}
+
+func (s *Server) change(w http.ResponseWriter, key string, value []byte, expected uint64) {
+	object, lost, ok := s.apply(key, value, expected)
 	switch {
 	case lost:
 		panic(http.ErrAbortHandler)
 	case !ok:
-		http.Error(w, "conflict", http.StatusPreconditionFailed)
+		http.Error(w, "conflict", http.StatusConflict)
 	default:
-		writeJSON(w, object)
+		writeJSON(w, objs.ToObject(object))
+	}
+}
+
+// readObject decodes a body, or answers that it cannot.
+func readObject(w http.ResponseWriter, r *http.Request, into *objs.Object) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*store.MaxValue)).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
 	}
+	return true
 }
 
 func (s *Server) apply(key string, value []byte, expected uint64) (object store.Object, lost, ok bool) {
@@ -183,26 +240,34 @@
 	return object, false, true
 }
 
-func (s *Server) watch(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	query := r.URL.Query()
-	from, err := strconv.ParseUint(query.Get("From"), 10, 64)
+	from, err := strconv.ParseUint(query.Get(objs.QueryWatch), 10, 64)
 	if err != nil {
-		http.Error(w, "From is missing", http.StatusBadRequest)
+		http.Error(w, "the revision is missing", http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(watchWait)
+	wait, err := strconv.ParseInt(query.Get(objs.QueryWait), 10, 64)
+	if err != nil {
+		http.Error(w, "the wait is missing", http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		listing := s.changes(query.Get("Prefix"), from)
-		changed, down := s.changed, s.faults.Down
+		listing := s.changes(params.ByName("kind")+"/", from)
+		changed, faults := s.changed, s.faults
 		s.mu.Unlock()
-		if down {
+		switch {
+		case faults.Down:
 			http.Error(w, "unavailable", http.StatusServiceUnavailable)
 			return
-		}
-		if len(listing.Objects) > 0 {
-			writeJSON(w, listing)
+		case from < faults.Forget:
+			http.Error(w, "the history is gone", http.StatusGone)
+			return
+		case len(listing.Objects) > 0:
+			writeJSON(w, changesOf(listing))
 			return
 		}
 		select {
@@ -210,12 +275,20 @@
 		case <-r.Context().Done():
 			return
 		case <-timer.C:
-			writeJSON(w, listing)
+			writeJSON(w, changesOf(listing))
 			return
 		}
 	}
 }
 
+func changesOf(listing store.Listing) objs.Changes {
+	changes := objs.Changes{Events: []objs.Event{}, Revision: listing.Revision}
+	for _, object := range listing.Objects {
+		changes.Events = append(changes.Events, objs.Event{Object: objs.ToObject(object), Removed: object.Value == nil})
+	}
+	return changes
+}
+
 func (s *Server) changes(prefix string, from uint64) store.Listing {
 	listing := store.Listing{Revision: s.revision}
 	for key, object := range s.objects {
@@ -242,7 +315,8 @@
 }
 
 func objectKey(params httprouter.Params) string {
-	return strings.TrimPrefix(params.ByName("key"), "/")
+	object := objs.Object{Metadata: objs.Metadata{Name: params.ByName("name")}}
+	return objs.FromObject(params.ByName("kind"), &object).Key
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -16,17 +16,25 @@
 
 // Times of the agent.
 const (
+	// isolatedAfter is how long no node answers until the node takes itself as
+	// cut off from the others.
+	isolatedAfter = 1500 * time.Millisecond
 	joinInterval  = 2 * time.Second
 	pingInterval  = time.Second
 	pingTimeout   = 800 * time.Millisecond
 	rejoinEvery   = 5 * time.Second
 	syncAfter     = 2 // pings with differing digests
-	watchersAZone = 2
+	// watchersAZone is the number of nodes of an availability zone that watch
+	// the platform. Changes reach the others over their peers.
+	watchersAZone = 8
 )
 
 // deltaBytes bounds the objects in one answer to a pull.
 const deltaBytes = 256 << 10
 
+// maxFeeds bounds the feeds that a message may name.
+const maxFeeds = 8
+
 // maxNews bounds the records in one message.
 const maxNews = 4096
 
@@ -40,20 +48,29 @@
 
 // Ping tells a neighbour the state of a node's tables, as does its answer.
 type Ping struct {
-	// Age is how long ago the revision was known to be current, negative for
-	// unknown.
-	Age time.Duration
 	// Digest is the hash of the membership table.
 	Digest uint64
-	// Revision is the configuration's revision in force.
-	Revision uint64
+	// Feeds are the states of the feeds, the same ones on all nodes.
+	Feeds []FeedState
 }
 
 // Check implements wire.Checker.
 func (p *Ping) Check() error {
+	if len(p.Feeds) > maxFeeds {
+		return trace.BadParameter("Feeds: %d are too many", len(p.Feeds))
+	}
 	return nil
 }
 
+// FeedState is how far a node has followed a part of the platform's store.
+type FeedState struct {
+	// Age is how long ago the revision was known to be current, negative for
+	// unknown.
+	Age time.Duration
+	// Revision is the revision in force.
+	Revision uint64
+}
+
 // News are records that changed.
 type News struct {
 	Records []Record
@@ -79,36 +96,42 @@
 
 // Pull asks for the changes of the configuration after a revision.
 type Pull struct {
+	Feed int `cbor:",omitempty"`
 	From uint64
 }
 
 // Check implements wire.Checker.
 func (p *Pull) Check() error {
+	if p.Feed < 0 || p.Feed >= maxFeeds {
+		return trace.BadParameter("Feed %d is unknown", p.Feed)
+	}
 	return nil
 }
 
 // Agent spreads the membership and the configuration among the nodes. Its
 // lock is taken before the locks of the tables.
 type Agent struct {
-	config *snaps.Holder
-	log    zerolog.Logger
-	mesh   Mesh
-	table  *Table
+	feeds []*snaps.Holder
+	log   zerolog.Logger
+	mesh  Mesh
+	table *Table
 
 	wake chan struct{}
 
 	mu        sync.Mutex
 	ahead     netip.AddrPort // a peer with a newer configuration
 	differing map[netip.AddrPort]int
-	outbox    []Record // news to pass on
+	heardAt   time.Time // of the last answer to a ping
+	outbox    []Record  // news to pass on
 	silent    map[netip.AddrPort]int
 }
 
-// NewAgent returns an Agent and sets its handlers on the mesh.
-func NewAgent(mesh Mesh, table *Table, config *snaps.Holder, log zerolog.Logger) *Agent {
+// NewAgent returns an Agent of the feeds of the platform's store that the nodes
+// pass on, and sets its handlers on the mesh.
+func NewAgent(mesh Mesh, table *Table, log zerolog.Logger, feeds ...*snaps.Holder) *Agent {
 	a := &Agent{
-		config:    config,
 		differing: make(map[netip.AddrPort]int),
+		feeds:     feeds,
 		log:       log,
 		mesh:      mesh,
 		silent:    make(map[netip.AddrPort]int),
@@ -204,15 +227,26 @@
 	if !ahead.IsValid() {
 		return
 	}
-	before := a.config.Snapshot().Revision()
 	pullCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-	_ = a.pull(pullCtx, ahead)
-	cancel()
-	if a.config.Snapshot().Revision() > before {
+	defer cancel()
+	if a.pullAll(pullCtx, ahead) {
 		a.Announce(ctx)
 	}
 }
 
+// pullAll pulls all feeds from a peer and reports whether one of them was behind.
+func (a *Agent) pullAll(ctx context.Context, peer netip.AddrPort) bool {
+	news := false
+	for i, feed := range a.feeds {
+		before := feed.Snapshot().Revision()
+		if err := a.pull(ctx, peer, i); err != nil {
+			a.log.Debug().Err(err).Stringer("Peer", peer).Int("Feed", i).Msg("peer did not hand over its newer state")
+		}
+		news = news || feed.Snapshot().Revision() > before
+	}
+	return news
+}
+
 // later notes work for passOn.
 func (a *Agent) later(ahead netip.AddrPort, news []Record) {
 	a.mu.Lock()
@@ -293,18 +327,30 @@
 	if err := a.mesh.Call(ctx, peer, wire.KindPing, a.state(sent), &answer); err != nil {
 		return trace.Wrap(err)
 	}
+	a.mu.Lock()
+	a.heardAt = time.Now()
+	a.mu.Unlock()
 	a.compareDigests(ctx, peer, answer.Digest)
-	if answer.Revision > a.config.Snapshot().Revision() {
-		if err := a.pull(ctx, peer); err != nil {
-			return trace.Wrap(err)
+	for i, state := range answer.Feeds[:min(len(answer.Feeds), len(a.feeds))] {
+		if state.Revision > a.feeds[i].Snapshot().Revision() {
+			if err := a.pull(ctx, peer, i); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		if state.Age >= 0 {
+			a.feeds[i].MarkFresh(state.Revision, sent.Add(-state.Age))
 		}
-	}
-	if answer.Age >= 0 {
-		a.config.MarkFresh(answer.Revision, sent.Add(-answer.Age))
 	}
 	return nil
 }
 
+// Isolated reports whether no node has answered for some pings.
+func (a *Agent) Isolated(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Sub(a.heardAt) >= isolatedAfter
+}
+
 func (a *Agent) compareDigests(ctx context.Context, peer netip.AddrPort, digest uint64) {
 	a.mu.Lock()
 	if digest == a.table.Digest() {
@@ -342,15 +388,15 @@
 	return nil
 }
 
-// pull fetches the changes of the configuration that a peer has.
-func (a *Agent) pull(ctx context.Context, peer netip.AddrPort) error {
+// pull fetches the changes of a feed that a peer has.
+func (a *Agent) pull(ctx context.Context, peer netip.AddrPort, feed int) error {
 	for {
-		from := a.config.Snapshot().Revision()
+		from := a.feeds[feed].Snapshot().Revision()
 		var delta snaps.Delta
-		if err := a.mesh.Call(ctx, peer, wire.KindPull, Pull{From: from}, &delta); err != nil {
+		if err := a.mesh.Call(ctx, peer, wire.KindPull, Pull{Feed: feed, From: from}, &delta); err != nil {
 			return trace.Wrap(err)
 		}
-		if !a.config.Apply(delta) {
+		if !a.feeds[feed].Apply(delta) {
 			return nil
 		}
 	}
@@ -370,9 +416,12 @@
 }
 
 func (a *Agent) state(now time.Time) Ping {
-	p := Ping{Age: -1, Digest: a.table.Digest(), Revision: a.config.Snapshot().Revision()}
-	if age, ok := a.config.Age(now); ok {
-		p.Age = age
+	p := Ping{Digest: a.table.Digest(), Feeds: make([]FeedState, len(a.feeds))}
+	for i, feed := range a.feeds {
+		p.Feeds[i] = FeedState{Age: -1, Revision: feed.Snapshot().Revision()}
+		if age, ok := feed.Age(now); ok {
+			p.Feeds[i].Age = age
+		}
 	}
 	return p
 }
@@ -382,8 +431,10 @@
 	if err := wire.Decode(body, &ping); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if ping.Revision > a.config.Snapshot().Revision() {
-		a.later(from, nil)
+	for i, state := range ping.Feeds[:min(len(ping.Feeds), len(a.feeds))] {
+		if state.Revision > a.feeds[i].Snapshot().Revision() {
+			a.later(from, nil)
+		}
 	}
 	return a.state(time.Now()), nil
 }
@@ -402,7 +453,10 @@
 	if err := wire.Decode(body, &pull); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return a.config.Since(pull.From, deltaBytes), nil
+	if pull.Feed >= len(a.feeds) {
+		return nil, trace.NotFound("the feed %d is not followed here", pull.Feed)
+	}
+	return a.feeds[pull.Feed].Since(pull.From, deltaBytes), nil
 }
 
 // SyncAnswer answers a Sync.
--- a/internal/process/member/agent_test.go
+++ b/internal/process/member/agent_test.go
@@ -51,7 +51,7 @@
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i%250 + 1)}), 8001)
 		table := NewTable(time.Now(), Record{Peers: address, Readiness: Ready, Service: "ledger", Zone: fmt.Sprintf("zone%d", i%3)})
 		nodeCtx, cancel := context.WithCancel(ctx)
-		agent := NewAgent(s.net.Node(address), table, snaps.NewHolder(), zerolog.Nop())
+		agent := NewAgent(s.net.Node(address), table, zerolog.Nop(), snaps.NewHolder())
 		s.nodes = append(s.nodes, agent)
 		s.cancels = append(s.cancels, cancel)
 		if i > 0 {
@@ -113,9 +113,9 @@
 			return len(a.table.View().Service("ledger")) == len(s.nodes) && victim.table.Self().Incarnation > r.Incarnation
 		}
 	case "configuration changes":
-		victim.config.Apply(snaps.Delta{Objects: []store.Object{{Key: "x", Value: []byte("1"), Version: 7}}, Revision: 7})
+		victim.feeds[0].Apply(snaps.Delta{Objects: []store.Object{{Key: "x", Value: []byte("1"), Version: 7}}, Revision: 7})
 		victim.Announce(ctx)
-		return func(a *Agent) bool { return a.config.Snapshot().Revision() == 7 }
+		return func(a *Agent) bool { return a.feeds[0].Snapshot().Revision() == 7 }
 	}
 	panic(what)
 }
@@ -200,7 +200,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 	}
-	ping := Ping{Age: time.Second, Digest: 1 << 63, Revision: 1 << 30}
+	ping := Ping{Digest: 1 << 63, Feeds: []FeedState{{Age: time.Second, Revision: 1 << 30}}}
 	b.ReportMetric(2*frame(wire.KindPing, ping), "B/ping")
 	b.ReportMetric(frame(wire.KindNews, News{Records: []Record{table.Self()}}), "B/news")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/size, "B/member")
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -21,9 +21,19 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(n.metrics().String()))
 	})
+	router.GET(admin.PathReady, n.handleReady)
+	if n.readyPath != "" {
+		router.GET(n.readyPath, n.handleReady)
+	}
 	return router
 }
 
+func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !n.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (n *Node) metrics() *expvar.Map {
 	all := new(expvar.Map).Init()
 	all.Set("Requests", n.stats.Var())
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
@@ -35,23 +40,39 @@
 	wantedSeeds = 5
 )
 
-// follow keeps the configuration up to date: from the platform on the few
-// nodes that watch it, and otherwise from peers.
-func (n *Node) follow(ctx context.Context) {
+// feed is a part of the platform's store that the node follows.
+type feed struct {
+	holder *snaps.Holder
+	prefix string // of its keys
+}
+
+// followAll joins the other nodes and keeps all feeds up to date.
+func (n *Node) followAll(ctx context.Context) {
+	n.obtainSecret(ctx)
+	var workers conc.WaitGroup
+	for _, f := range n.feeds {
+		workers.Go(func() { n.follow(ctx, f) })
+	}
 	n.join(ctx)
+	workers.Wait()
+}
+
+// follow keeps a feed up to date: from the platform on the few nodes that watch
+// it, and otherwise from peers.
+func (n *Node) follow(ctx context.Context, f feed) {
 	backoff := backoffLeast
 	for ctx.Err() == nil {
-		if !n.agent.Watches() && !n.stale(time.Now()) {
+		if now := time.Now(); !n.agent.Watches() && !n.agent.Isolated(now) && !stale(now, f) {
 			sleep(ctx, followPoll)
 			continue
 		}
-		if err := n.watch(ctx); err == nil {
+		if err := n.watch(ctx, f); err == nil {
 			backoff = backoffLeast
 			continue
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(backoff*2, backoffMost)
-		if !n.agent.Watches() {
+		if !n.agent.Watches() && !n.agent.Isolated(time.Now()) {
 			zone := len(n.table.View().Zone(n.settings.Zone, 1<<30))
 			sleep(ctx, rand.N(2*max(staleAfter, time.Duration(zone)*perNode)))
 		}
@@ -59,34 +80,87 @@
 }
 
 // stale reports whether neither the platform nor a peer was heard of for long.
-func (n *Node) stale(now time.Time) bool {
-	age, known := n.config.Age(now)
+func stale(now time.Time, f feed) bool {
+	age, known := f.holder.Age(now)
 	return !known || age >= staleAfter
 }
 
 // watch makes one call to the platform and puts what changed in force.
-func (n *Node) watch(ctx context.Context) error {
-	from := n.config.Snapshot().Revision()
+func (n *Node) watch(ctx context.Context, f feed) error {
+	from := f.holder.Snapshot().Revision()
 	sent := time.Now()
 	var listing store.Listing
 	var err error
-	if from == 0 {
-		listing, err = n.store.List(ctx, kinds.Root)
-	} else {
-		listing, err = n.store.Watch(ctx, kinds.Root, from)
+	if from > 0 {
+		listing, err = n.store.Watch(ctx, f.prefix, from)
+	}
+	if from == 0 || errors.Is(err, store.ErrGone) {
+		from = 0
+		listing, err = n.store.List(ctx, f.prefix)
 	}
+	n.noteStore(err)
 	if err != nil {
 		return err
 	}
-	if n.config.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
-		n.log.Info().Uint64("Revision", listing.Revision).Msg("configuration is in force")
-		n.config.MarkFresh(listing.Revision, sent)
-		n.agent.Announce(ctx)
+	if f.holder.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
+		f.holder.MarkFresh(listing.Revision, sent)
+		if len(listing.Objects) > 0 {
+			n.log.Info().Str("Feed", f.prefix).Uint64("Revision", listing.Revision).Uint64("Catalog", f.holder.Snapshot().CatalogVersion()).Int("Rejected", f.holder.Rejected()).Msg("configuration is in force")
+			n.agent.Announce(ctx)
+		}
 	}
-	n.config.MarkFresh(listing.Revision, sent)
+	f.holder.MarkFresh(listing.Revision, sent)
 	return nil
 }
 
+// noteStore logs when the platform's store is lost or regained.
+func (n *Node) noteStore(err error) {
+	switch lost := err != nil && n.ctx.Err() == nil; {
+	case lost && !n.storeLost.Swap(true):
+		n.log.Warn().Err(err).Msg("the platform's store does not answer")
+	case !lost && n.storeLost.Swap(false):
+		n.log.Info().Msg("the platform's store answers again")
+	}
+}
+
+// obtainSecret waits until the secret of the fleet is known. Where no setting
+// has it, the first node keeps a random one in the platform's store.
+func (n *Node) obtainSecret(ctx context.Context) {
+	backoff := backoffLeast
+	for ctx.Err() == nil && !n.settings.Secret.Known() {
+		err := n.readSecret(ctx)
+		n.noteStore(err)
+		if err == nil {
+			return
+		}
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(backoff*2, backoffMost)
+	}
+}
+
+// readSecret reads the secret from the platform's store, or writes one if there
+// is none.
+func (n *Node) readSecret(ctx context.Context) error {
+	object, err := n.store.Get(ctx, kinds.SecretKey)
+	if errors.Is(err, store.ErrNotFound) {
+		value, encodeErr := kinds.Encode(&kinds.Secret{Text: cryptorand.Text()})
+		if encodeErr != nil {
+			return trace.Wrap(encodeErr)
+		}
+		if _, err = n.store.Put(ctx, kinds.SecretKey, value, 0); err == nil || errors.Is(err, store.ErrConflict) {
+			object, err = n.store.Get(ctx, kinds.SecretKey)
+		}
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var secret kinds.Secret
+	if err := kinds.Decode(object.Value, &secret); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(n.settings.Secret.Set(secret.Text))
+}
+
 // join finds other nodes by the platform's seeds or by the settings.
 func (n *Node) join(ctx context.Context) {
 	backoff := backoffLeast
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -6,7 +6,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -26,19 +28,22 @@
 	"github.com/wasabibend/wasabibend/internal/process/stats"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/request/relay"
+	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 	"github.com/wasabibend/wasabibend/pkg/admin"
 )
 
 // Times of the node.
 const (
-	drainPoll      = 20 * time.Millisecond
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	lameDuck       = 2 * time.Second
-	pruneInterval  = time.Minute
-	shutdownExtra  = time.Second
-	upstreamExpiry = 3 * time.Second
+	drainPoll     = 20 * time.Millisecond
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	lameDuck      = 2 * time.Second
+	pruneInterval = time.Minute
+	// retryBoundsPoll is how often the retries are divided among the nodes anew.
+	retryBoundsPoll = time.Second
+	shutdownExtra   = time.Second
+	upstreamPoll    = 300 * time.Millisecond
 )
 
 // Node is one process of the system.
@@ -47,8 +52,11 @@
 	cancel   context.CancelFunc
 	claims   *claims.Client
 	config   *snaps.Holder
+	catalog  *snaps.Holder // nil for a configuration by the table
 	crashes  *crash.Agent
 	ctx      context.Context // ends all work of the node
+	dialect  relay.Dialect   // nil for the product's own
+	feeds    []feed
 	gate     *gates.Gate
 	log      zerolog.Logger
 	mesh     *links.Mesh
@@ -59,13 +67,52 @@
 	shutdown func(context.Context) error
 	stats    *stats.Stats
 	store    store.Store
-	table    *member.Table
-	upstream *upstream
-	version  string
+	// storeLost tells that the last call to the platform's store failed.
+	storeLost atomic.Bool
+	table     *member.Table
+	upstream  *upstream
+	version   string
+
+	catalogDecoder    snaps.CatalogDecoder
+	catalogKey        string
+	catalogPrefix     string
+	readyPath         string
+	upstreamInterface func(*Node) http.Handler // nil for the product's own
+}
+
+// Option changes a Node when it is made.
+type Option func(*Node)
+
+// WithCatalog lets the operators configure the node by a catalog, which stands
+// in the object of a key in the platform's store.
+func WithCatalog(prefix, key string, decode snaps.CatalogDecoder) Option {
+	return func(n *Node) {
+		n.catalogDecoder = decode
+		n.catalogKey = key
+		n.catalogPrefix = prefix
+	}
+}
+
+// WithDialect sets the form in which callers and the upstream speak with the
+// node.
+func WithDialect(dialect relay.Dialect) Option {
+	return func(n *Node) { n.dialect = dialect }
+}
+
+// WithReadyPath sets a path at which the node tells whether it takes requests,
+// besides admin.PathReady.
+func WithReadyPath(path string) Option {
+	return func(n *Node) { n.readyPath = path }
 }
 
-// New returns a Node. Run must follow.
-func New(settings *setup.Settings, version string, log zerolog.Logger) (*Node, error) {
+// WithUpstreamInterface sets the handler of what the upstream tells the node of
+// itself.
+func WithUpstreamInterface(handler func(*Node) http.Handler) Option {
+	return func(n *Node) { n.upstreamInterface = handler }
+}
+
+// New returns a Node that keeps what must last in a store. Run must follow.
+func New(settings *setup.Settings, version string, log zerolog.Logger, platform store.Store, options ...Option) (*Node, error) {
 	now := time.Now()
 	tracer, shutdown, err := spans.Tracer(settings.Spans)
 	if err != nil {
@@ -83,15 +130,28 @@
 		settings: settings,
 		shutdown: shutdown,
 		stats:    stats.New(),
-		store:    store.NewHTTP(settings.Platform),
+		store:    platform,
 		table:    member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
 		version:  version,
 	}
-	n.upstream = newUpstream(n.gate)
-	n.agent = member.NewAgent(n.mesh, n.table, n.config, log)
+	for _, option := range options {
+		option(n)
+	}
+	n.feeds = []feed{{holder: n.config, prefix: kinds.Root}}
+	if n.catalogDecoder != nil {
+		n.catalog = snaps.NewHolder(snaps.WithCatalog(n.catalogKey, n.catalogDecoder))
+		n.feeds = append(n.feeds, feed{holder: n.catalog, prefix: n.catalogPrefix})
+	}
+	holders := make([]*snaps.Holder, len(n.feeds))
+	for i, f := range n.feeds {
+		holders[i] = f.holder
+	}
+	n.upstream = newUpstream(n.gate, settings.Expiry)
+	n.agent = member.NewAgent(n.mesh, n.table, log, holders...)
 	n.crashes = crash.NewAgent(n.mesh, n.table, log)
 	n.quota = quota.NewClient(now, quota.Options{
 		Config: n.config,
+		Limits: n.limitOf,
 		Log:    log,
 		Mesh:   n.mesh,
 		Self:   settings.Peers,
@@ -113,9 +173,11 @@
 	})
 	n.relay = relay.New(relay.Options{
 		Admitter:  n.quota,
+		Catalog:   n.catalog,
 		Claimer:   n.claims,
 		Config:    n.config,
 		Crashes:   n.crashes,
+		Dialect:   n.dialect,
 		FirstByte: settings.FirstByte,
 		Gate:      n.gate,
 		Idle:      settings.Idle,
@@ -124,6 +186,7 @@
 		Pool:      n.pool,
 		Secret:    settings.Secret,
 		Self:      settings.Peers,
+		Service:   settings.Service,
 		Stats:     n.stats,
 		Table:     n.table,
 		Tracer:    tracer,
@@ -132,6 +195,39 @@
 	return n, nil
 }
 
+// limitOf returns the limit of a key of rates by the configuration in force.
+func (n *Node) limitOf(key quota.Key) (quota.Limit, bool) {
+	if n.catalog == nil {
+		row := n.config.Snapshot().Row(key.Route, key.Customer)
+		if row == nil {
+			return quota.Limit{}, false
+		}
+		return quota.Limit{Burst: row.Burst, Rate: row.Rate}, true
+	}
+	customer, ok := n.catalog.Snapshot().CustomerNamed(key.Customer)
+	if !ok || customer.Rate <= 0 {
+		return quota.Limit{}, false
+	}
+	return quota.Limit{Burst: customer.Burst, Rate: customer.Rate}, true
+}
+
+// Ready reports whether the node takes requests: it knows its configuration and
+// does not leave.
+func (n *Node) Ready() bool {
+	if n.relay.Leaving() {
+		return false
+	}
+	if n.catalog != nil {
+		return n.catalog.Snapshot().CatalogVersion() > 0 && n.settings.Secret.Known()
+	}
+	return n.config.Snapshot().Revision() > 0
+}
+
+// Settings returns the node's settings, which must not be changed.
+func (n *Node) Settings() *setup.Settings {
+	return n.settings
+}
+
 // Run serves until a context ends, then finishes what is in flight and ends all
 // work of the node.
 func (n *Node) Run(stop context.Context) error {
@@ -144,7 +240,7 @@
 	for _, s := range servers {
 		workers.Go(s.serve)
 	}
-	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.follow, n.gate.Run, n.pool.Run, n.prune, n.quota.Run, n.seed, n.watchUpstream} {
+	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.prune, n.quota.Run, n.seed, n.watchUpstream} {
 		workers.Go(func() { loop(n.ctx) })
 	}
 	n.log.Info().Stringer("Callers", n.settings.Callers).Stringer("Peers", n.settings.Peers).Msg("node serves")
@@ -195,6 +291,19 @@
 	}
 }
 
+// keepRetryBounds divides the retries that all nodes may make together among
+// the nodes that there are.
+func (n *Node) keepRetryBounds(ctx context.Context) {
+	for {
+		if n.settings.RetrySlack > 0 {
+			n.relay.SetRetryBounds(n.settings.RetryRatio, n.settings.RetrySlack/float64(max(n.table.View().Size(), 1)))
+		}
+		if !sleep(ctx, retryBoundsPoll) {
+			return
+		}
+	}
+}
+
 // server is one listener.
 type server struct {
 	drains   bool // waits for requests in flight when the node leaves
@@ -210,17 +319,22 @@
 func (n *Node) listen() ([]*server, error) {
 	var servers []*server
 	var errs []error
-	for _, l := range []struct {
-		address string
+	listeners := []struct {
+		address netip.AddrPort
 		drains  bool
 		handler http.Handler
 	}{
-		{n.settings.Admin.String(), false, n.adminHandler()},
-		{n.settings.Callers.String(), true, http.HandlerFunc(n.relay.ServeCaller)},
-		{n.settings.Peers.String(), false, n.peersHandler()},
-		{n.settings.Upstream.String(), false, n.upstreamHandler()},
-	} {
-		listener, err := net.Listen("tcp", l.address)
+		{n.settings.Admin, false, n.adminHandler()},
+		{n.settings.Callers, true, http.HandlerFunc(n.relay.ServeCaller)},
+		{n.settings.Peers, false, n.peersHandler()},
+		{n.settings.Upstream, false, n.upstreamHandler()},
+		{n.settings.Ready, false, n.adminHandler()},
+	}
+	for _, l := range listeners {
+		if !l.address.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
 			errs = append(errs, err)
 			continue
@@ -253,6 +367,9 @@
 }
 
 func (n *Node) upstreamHandler() http.Handler {
+	if n.upstreamInterface != nil {
+		return n.upstreamInterface(n)
+	}
 	router := httprouter.New()
 	router.PUT(admin.PathAnnounce, n.handleAnnounce)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -21,38 +21,91 @@
 // maxAnnouncement bounds an announcement in bytes.
 const maxAnnouncement = 4 << 10
 
+// maxDeparted bounds the starts that are remembered as gone.
+const maxDeparted = 64
+
 // upstream is the upstream beside the node. Its lock is a leaf.
 type upstream struct {
-	gate *gates.Gate
+	expiry time.Duration // of an announcement
+	gate   *gates.Gate
 
-	mu      sync.Mutex
-	current admin.Announcement
-	heardAt time.Time
+	mu       sync.Mutex
+	current  admin.Announcement
+	departed map[string]time.Time // starts that are gone, with their births
+	heardAt  time.Time
 }
 
-func newUpstream(gate *gates.Gate) *upstream {
-	return &upstream{gate: gate}
+func newUpstream(gate *gates.Gate, expiry time.Duration) *upstream {
+	return &upstream{departed: make(map[string]time.Time), expiry: expiry, gate: gate}
 }
 
 // Upstream implements relay.Local.
-func (u *upstream) Upstream(service string) (netip.AddrPort, bool) {
+func (u *upstream) Upstream(service string) (netip.AddrPort, string, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.current.Service != service || u.readiness(time.Now()) != member.Ready {
-		return netip.AddrPort{}, false
+		return netip.AddrPort{}, "", false
 	}
-	return u.current.Address, true
+	return u.current.Address, u.current.Instance, true
 }
 
-// announce takes in an announcement. An upstream that was away starts cold.
-func (u *upstream) announce(now time.Time, a admin.Announcement) {
+// announce takes in an announcement, and reports false for one that is out of
+// date. An upstream that was away starts cold.
+func (u *upstream) announce(now time.Time, a admin.Announcement) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.readiness(now) == member.Absent || u.current.Address != a.Address {
-		u.gate.Reset(gates.NewGradient())
+	if u.outdated(&a) {
+		return false
+	}
+	same := u.current.Instance == a.Instance && u.current.Born.Equal(a.Born) && u.current.Address == a.Address
+	a.Draining = a.Draining || (same && u.current.Draining && a.Instance != "")
+	if !same || (u.readiness(now) == member.Absent && a.Slots == 0) || u.current.Slots != a.Slots {
+		u.gate.Reset(limiterOf(a.Slots))
 	}
 	u.current = a
 	u.heardAt = now
+	return true
+}
+
+// outdated reports whether an announcement was overtaken by a later one, or is
+// of a start that is gone.
+func (u *upstream) outdated(a *admin.Announcement) bool {
+	if a.Instance == "" {
+		return false
+	}
+	if born, gone := u.departed[a.Instance]; gone && !a.Born.After(born) {
+		return true
+	}
+	if a.Instance == u.current.Instance && a.Born.Equal(u.current.Born) {
+		return a.Sequence != 0 && a.Sequence <= u.current.Sequence
+	}
+	return a.Born.Before(u.current.Born)
+}
+
+// limiterOf returns the limiter of an upstream with a number of slots.
+func limiterOf(slots int) gates.Limiter {
+	if slots > 0 {
+		return gates.Static(slots)
+	}
+	return gates.NewGradient()
+}
+
+// depart takes in that a start of an upstream leaves. Later announcements of it
+// do not count. A zero birth stands for the start that is known.
+func (u *upstream) depart(instance string, born time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	current := u.current.Instance == instance
+	if born.IsZero() && current {
+		born = u.current.Born
+	}
+	if len(u.departed) >= maxDeparted {
+		clear(u.departed)
+	}
+	u.departed[instance] = born
+	if current && !u.current.Born.After(born) {
+		u.current.Draining = true
+	}
 }
 
 // Crashed marks the upstream as gone until it announces itself again.
@@ -71,7 +124,7 @@
 
 func (u *upstream) readiness(now time.Time) member.Readiness {
 	switch {
-	case u.heardAt.IsZero() || now.Sub(u.heardAt) >= upstreamExpiry:
+	case u.heardAt.IsZero() || now.Sub(u.heardAt) >= u.expiry:
 		return member.Absent
 	case u.current.Draining:
 		return member.Draining
@@ -79,6 +132,21 @@
 	return member.Ready
 }
 
+// Announce takes in an announcement of the upstream beside the node and lets
+// the other nodes know. It reports false for one that is out of date.
+func (n *Node) Announce(now time.Time, a admin.Announcement) bool {
+	counts := n.upstream.announce(now, a)
+	n.publishUpstream()
+	return counts
+}
+
+// Depart takes in that a start of the upstream beside the node leaves, and lets
+// the other nodes know. A zero birth stands for the start that is known.
+func (n *Node) Depart(instance string, born time.Time) {
+	n.upstream.depart(instance, born)
+	n.publishUpstream()
+}
+
 func (n *Node) handleAnnounce(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var a admin.Announcement
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&a); err != nil {
@@ -89,14 +157,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	n.upstream.announce(time.Now(), a)
-	n.publishUpstream()
+	n.Announce(time.Now(), a)
 	w.WriteHeader(http.StatusNoContent)
 }
 
 // watchUpstream notices when the upstream falls silent.
 func (n *Node) watchUpstream(ctx context.Context) {
-	for sleep(ctx, upstreamExpiry/10) {
+	for sleep(ctx, upstreamPoll) {
 		n.publishUpstream()
 	}
 }
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -44,6 +44,8 @@
 // Options are what a Client works with.
 type Options struct {
 	Config *snaps.Holder
+	// Limits returns the limit of a key by the configuration in force.
+	Limits func(key Key) (Limit, bool)
 	Log    zerolog.Logger
 	Mesh   Mesh
 	Self   netip.AddrPort
@@ -214,12 +216,11 @@
 	if allocator == nil || !allocator.Started(now) {
 		return Grant{}, trace.NotFound("the allocator is not here")
 	}
-	row := c.Config.Snapshot().Row(ask.Key.Route, ask.Key.Customer)
-	if row == nil {
-		return Grant{}, trace.NotFound("no row for %q and %q", ask.Key.Route, ask.Key.Customer)
+	limit, ok := c.Limits(ask.Key)
+	if !ok {
+		return Grant{}, trace.NotFound("no limit for %q and %q", ask.Key.Route, ask.Key.Customer)
 	}
-	limit := Limit{Burst: row.Burst, Rate: row.Rate}.Part(ask.Key, c.zone, len(c.Zones))
-	return allocator.Deal(now, node, ask, limit), nil
+	return allocator.Deal(now, node, ask, limit.Part(ask.Key, c.zone, len(c.Zones))), nil
 }
 
 func (c *Client) handleAsk(from netip.AddrPort, body []byte) (any, error) {
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -170,14 +170,23 @@
 	end := f.net.Node(address)
 	n := &testNode{address: address, cancel: cancel, config: snaps.NewHolder(), memory: f.platform.Memory(), zone: zone}
 	n.table = member.NewTable(time.Now(), member.Record{Peers: address, Readiness: member.Ready, Service: "ledger", Zone: zone})
-	n.agent = member.NewAgent(end, n.table, n.config, zerolog.Nop())
-	n.client = NewClient(time.Now(), Options{Config: n.config, Log: zerolog.Nop(), Mesh: end, Self: address, Shards: 1, Store: n.memory, Table: n.table, Zone: zone, Zones: zones})
+	n.agent = member.NewAgent(end, n.table, zerolog.Nop(), n.config)
+	n.client = NewClient(time.Now(), Options{Config: n.config, Limits: n.limitOf, Log: zerolog.Nop(), Mesh: end, Self: address, Shards: 1, Store: n.memory, Table: n.table, Zone: zone, Zones: zones})
 	go n.agent.Run(ctx)
 	go n.client.Run(ctx)
 	go n.follow(ctx)
 	return n
 }
 
+// limitOf returns the limit of the row of a key.
+func (n *testNode) limitOf(key Key) (Limit, bool) {
+	row := n.config.Snapshot().Row(key.Route, key.Customer)
+	if row == nil {
+		return Limit{}, false
+	}
+	return Limit{Burst: row.Burst, Rate: row.Rate}, true
+}
+
 // follow reads the platform's changes.
 func (n *testNode) follow(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -2,10 +2,12 @@
 package setup
 
 import (
+	"math"
 	"net/netip"
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,18 +19,30 @@
 
 // Settings are a node's settings.
 type Settings struct {
+	// Dialect is the form in which callers, the upstream and the operators
+	// speak with the node.
+	Dialect Dialect
+	// Service is the service of the upstream beside the node, empty for what
+	// the upstream announces.
+	Service string
 	// Zone is the node's availability zone.
 	Zone string
 
 	// Admin, Callers, Peers and Upstream are the addresses of the listeners.
 	Admin, Callers, Peers, Upstream netip.AddrPort
+	// Ready is the address that tells whether the node takes requests, if it is
+	// valid.
+	Ready netip.AddrPort
+	// Server is the address of the upstream, where it is known beforehand.
+	Server netip.AddrPort
 
 	// Platform is the base URL of the platform's object API.
 	Platform string
 
 	// Join are addresses of peers to join at when the platform does not answer.
 	Join []netip.AddrPort
-	// Secret is shared by all nodes.
+	// Secret is shared by all nodes. Where it is not known, it is kept in the
+	// platform's store.
 	Secret *fleet.Secret
 	// Shards is the number of shards of the customers' rates in each zone. It is
 	// the same on all nodes.
@@ -39,6 +53,8 @@
 
 	// Drain bounds how long a graceful stop waits for requests in flight.
 	Drain time.Duration
+	// Expiry is how long an announcement of the upstream counts.
+	Expiry time.Duration
 	// FirstByte bounds the wait for an upstream's first byte.
 	FirstByte time.Duration
 	// HeaderBytes bounds the size of a request's header.
@@ -50,11 +66,27 @@
 	// Procs is the number of processors that the node uses at a time.
 	Procs int
 
+	// RetryRatio and RetrySlack bound the retries to a service, by all nodes
+	// together, to a part of its requests and a number.
+	RetryRatio, RetrySlack float64
+
 	// Spans is the file that spans are written to; "-" is standard output and
 	// empty turns tracing off.
 	Spans string
 }
 
+// Dialect is the form in which callers, the upstream and the operators speak
+// with a node.
+type Dialect string
+
+// Values of Dialect.
+const (
+	// DialectNative is the product's own.
+	DialectNative Dialect = "Native"
+	// DialectPlatform is the users' platform's.
+	DialectPlatform Dialect = "Platform"
+)
+
 // reader reads values and keeps the first error.
 type reader struct {
 	file *ini.File
@@ -83,7 +115,9 @@
 	s := &Settings{
 		Admin:       r.address("Listen", "Admin"),
 		Callers:     r.address("Listen", "Callers"),
+		Dialect:     r.dialect("Node", "Dialect"),
 		Drain:       r.duration("Limits", "Drain", 10*time.Minute),
+		Expiry:      r.duration("Limits", "Expiry", 3*time.Second),
 		FirstByte:   r.duration("Limits", "FirstByte", time.Minute),
 		HeaderBytes: r.number("Limits", "HeaderBytes", 32<<10, 1<<10, 1<<20),
 		Idle:        r.duration("Limits", "Idle", 30*time.Second),
@@ -91,8 +125,13 @@
 		Join:        r.addresses("Fleet", "Join"),
 		Peers:       r.address("Listen", "Peers"),
 		Platform:    r.url("Platform", "URL"),
-		Secret:      r.secret("Fleet", "Secret"),
 		Procs:       r.number("Limits", "Procs", 2, 1, 256),
+		Ready:       r.optionalAddress("Listen", "Ready"),
+		RetryRatio:  r.fraction("Limits", "RetryRatio", 0.1),
+		RetrySlack:  r.fraction("Limits", "RetrySlack", 0),
+		Secret:      r.secret("Fleet", "Secret"),
+		Server:      r.optionalAddress("Listen", "Server"),
+		Service:     r.text("Node", "Service", false),
 		Shards:      r.number("Fleet", "Shards", 1, 1, 1024),
 		Spans:       r.text("Trace", "Spans", false),
 		Upstream:    r.address("Listen", "Upstream"),
@@ -144,6 +183,14 @@
 	return address
 }
 
+// optionalAddress returns an address, or one that is not valid if it is missing.
+func (r *reader) optionalAddress(section, key string) netip.AddrPort {
+	if r.text(section, key, false) == "" {
+		return netip.AddrPort{}
+	}
+	return r.address(section, key)
+}
+
 func (r *reader) addresses(section, key string) []netip.AddrPort {
 	var all []netip.AddrPort
 	for _, value := range split(r.text(section, key, false)) {
@@ -156,6 +203,18 @@
 	return all
 }
 
+func (r *reader) dialect(section, key string) Dialect {
+	switch value := Dialect(r.text(section, key, false)); value {
+	case "":
+		return DialectNative
+	case DialectNative, DialectPlatform:
+		return value
+	default:
+		r.fail(section, key, string(value), "Native or Platform")
+		return value
+	}
+}
+
 func (r *reader) duration(section, key string, preset time.Duration) time.Duration {
 	value := r.text(section, key, false)
 	if value == "" {
@@ -168,6 +227,18 @@
 	return d
 }
 
+func (r *reader) fraction(section, key string, preset float64) float64 {
+	value := r.text(section, key, false)
+	if value == "" {
+		return preset
+	}
+	f, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(f >= 0) || math.IsInf(f, 0) {
+		r.fail(section, key, value, "a number of 0 or more")
+	}
+	return f
+}
+
 func (r *reader) names(section, key string) []string {
 	all := split(r.text(section, key, true))
 	slices.Sort(all)
@@ -190,6 +261,10 @@
 }
 
 func (r *reader) secret(section, key string) *fleet.Secret {
+	if !r.file.HasSection(section) || !r.file.Section(section).HasKey(key) {
+		r.used[section] = append(r.used[section], key)
+		return &fleet.Secret{}
+	}
 	value := r.text(section, key, true)
 	secret, err := fleet.NewSecret(value)
 	if err != nil {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -1,5 +1,4 @@
-// Package store is the interface to the platform's object API and its HTTP
-// adapter.
+// Package store is the interface to the platform's object API.
 package store
 
 import (
@@ -12,6 +11,8 @@
 	// ErrConflict means that the object's version is not the expected one. The
 	// change did not take effect.
 	ErrConflict = errors.New("the object has another version")
+	// ErrGone means that the changes after a revision are not known any more.
+	ErrGone = errors.New("the history is gone")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("the object does not exist")
 )
@@ -47,6 +48,7 @@
 	// Delete removes the object if its version is still the expected one.
 	Delete(ctx context.Context, key string, expected uint64) error
 	// Watch waits for changes past a revision and returns them. A Listing
-	// without objects means that nothing changed within the platform's wait.
+	// without objects means that nothing changed within the platform's wait. An
+	// error of ErrGone asks for a List.
 	Watch(ctx context.Context, prefix string, from uint64) (Listing, error)
 }
--- a/internal/request/chain/chain.go
+++ b/internal/request/chain/chain.go
@@ -55,8 +55,11 @@
 
 // Chain is the context of one call.
 type Chain struct {
+	_ struct{} `cbor:",toarray"`
 	// Call identifies this call within the chain.
 	Call uint64
+	// Caller is the service beside the node at which the call began.
+	Caller string
 	// Customer is the customer of the root request, empty for an open route
 	// without a key.
 	Customer string
@@ -78,7 +81,7 @@
 	Service string
 	// Suspect tells that the call was sent before and may have crashed an
 	// upstream.
-	Suspect bool `cbor:",omitempty"`
+	Suspect bool
 	// Weight is the customer's share of a contended upstream.
 	Weight float64
 }
--- a/internal/request/chain/chain_test.go
+++ b/internal/request/chain/chain_test.go
@@ -52,14 +52,14 @@
 
 // TestRatio checks that retries stay a tenth of first tries.
 func TestRatio(t *testing.T) {
-	r := NewRatio()
+	r := NewRatios()
 	retries := 0
 	for range 10000 {
-		r.First()
-		for r.Retry() {
+		r.First("ledger")
+		for r.Retry("ledger") {
 			retries++
 		}
 	}
-	assert.Check(t, retries <= 10000*ratioPerCall+ratioInitial, "%d retries", retries)
+	assert.Check(t, retries <= 10000*ratioPerCall+ratioMost, "%d retries", retries)
 	assert.Check(t, retries >= 10000*ratioPerCall-1, "%d retries", retries)
 }
--- a/internal/request/chain/ratio.go
+++ b/internal/request/chain/ratio.go
@@ -2,39 +2,59 @@
 
 import "sync"
 
-// Bounds of a Ratio.
+// Bounds of Ratios until SetBounds is called.
 const (
-	ratioInitial = 10  // retries
-	ratioMost    = 100 // retries
+	ratioMost    = 10  // retries
 	ratioPerCall = 0.1 // retries earned by a first try
 )
 
-// Ratio bounds the retries that a node makes to a small part of its first
-// tries. As it holds for each node, it holds for the fleet. Its lock is a leaf.
-type Ratio struct {
-	mu   sync.Mutex
-	left float64
+// Ratios bound the retries that a node makes to a small part of its first
+// tries, for each service. As they hold for each node, they hold for the fleet.
+// Its lock is a leaf.
+type Ratios struct {
+	mu       sync.Mutex
+	most     float64
+	perCall  float64
+	services map[string]float64 // retries left
 }
 
-// NewRatio returns a Ratio.
-func NewRatio() *Ratio {
-	return &Ratio{left: ratioInitial}
+// NewRatios returns Ratios.
+func NewRatios() *Ratios {
+	return &Ratios{most: ratioMost, perCall: ratioPerCall, services: make(map[string]float64)}
+}
+
+// SetBounds sets the retries that a first try earns, and the number up to which
+// a service's may add up.
+func (r *Ratios) SetBounds(perCall, most float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.most = most
+	r.perCall = perCall
 }
 
 // First counts a first try.
-func (r *Ratio) First() {
+func (r *Ratios) First(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.left = min(r.left+ratioPerCall, ratioMost)
+	r.services[service] = min(r.left(service)+r.perCall, r.most)
 }
 
 // Retry uses a retry, or reports false if the node has made too many.
-func (r *Ratio) Retry() bool {
+func (r *Ratios) Retry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.left < 1 {
+	left := min(r.left(service), r.most)
+	if left < 1 {
 		return false
 	}
-	r.left--
+	r.services[service] = left - 1
 	return true
 }
+
+// left returns the retries left to a service. One that is new may use all.
+func (r *Ratios) left(service string) float64 {
+	if left, ok := r.services[service]; ok {
+		return left
+	}
+	return r.most
+}
--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -47,7 +47,9 @@
 func (fixed) Report(time.Time) {}
 
 // Upstream implements Local.
-func (f fixed) Upstream(string) (netip.AddrPort, bool) { return f.address, f.address.IsValid() }
+func (f fixed) Upstream(string) (netip.AddrPort, string, bool) {
+	return f.address, "", f.address.IsValid()
+}
 
 // listenOn serves each connection at an address on loopback by a function.
 func listenOn(tb testing.TB, serve func(net.Conn)) netip.AddrPort {
@@ -110,7 +112,7 @@
 	server.Start()
 	defer server.Close()
 	peer := netip.MustParseAddrPort(server.Listener.Addr().String())
-	gate.proof = gate.Secret.Proof(peer)
+	gate.Self = peer
 	entry := newRelay(b, netip.MustParseAddrPort("127.0.0.1:1"), netip.AddrPort{}, member.Record{Health: member.Alive, Incarnation: 1, Peers: peer, Readiness: member.Ready, Service: "ledger", Zone: "zone"})
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,14 +15,9 @@
 	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
-// root is an identified request of a caller.
-type root struct {
-	customer string
-	row      *rows.Row
-}
-
 // call is a request on its way to an upstream.
 type call struct {
+	attempts    int // upstreams that may be sent the request
 	budget      *chain.Budget
 	chain       chain.Chain
 	context     context.Context // ends with the request that made the sub-call; nil for a root
@@ -33,71 +28,32 @@
 	release     func() // gives up the claim of the idempotency key; nil without one
 }
 
-// identify finds the customer and the row of a request.
-func (r *Relay) identify(now time.Time, req *http.Request) (root, *refuse.Refusal) {
-	snapshot := r.Config.Snapshot()
-	if snapshot.Revision() == 0 {
-		return root{}, refuse.New(refuse.NoConfiguration, graceRetry, "the node has no configuration yet")
-	}
-	if refusal := checkPath(req); refusal != nil {
-		return root{}, refusal
-	}
-	key, refusal := takeKey(req)
-	if refusal != nil {
-		return root{}, refusal
-	}
-	var customer string
-	known := false
-	if key != "" {
-		customer, known = snapshot.Customer(key)
-	}
-	row, routed := snapshot.Match(req.Method, req.URL.Path, customer)
-	switch {
-	case !routed:
-		return root{customer: customer}, refuse.New(refuse.RouteUnknown, 0, "no row is for this method and path")
-	case row != nil && row.Open:
-		return root{customer: customer, row: row}, nil
-	case key == "":
-		return root{}, refuse.New(refuse.KeyMissing, 0, "the route wants a key")
-	case !known:
-		return root{}, refuse.New(refuse.KeyRejected, 0, "the key is unknown or withdrawn")
-	case row == nil:
-		return root{customer: customer}, refuse.New(refuse.NotForCustomer, 0, "the route has no row for the customer")
-	case r.keysTooOld(now, row):
-		return root{customer: customer}, refuse.New(refuse.NoConfiguration, graceRetry, "the node cannot tell whether the key is withdrawn")
-	}
-	return root{customer: customer, row: row}, nil
-}
-
-// keysTooOld reports whether the node has not heard of withdrawn keys for
-// longer than the row allows.
-func (r *Relay) keysTooOld(now time.Time, row *rows.Row) bool {
-	if row.KeyGrace == 0 {
-		return false
-	}
-	age, known := r.Config.Age(now)
-	return !known || age > row.KeyGrace
-}
-
 // rootCall returns the call of an admitted request of a caller.
-func (r *Relay) rootCall(now time.Time, req *http.Request, root root) *call {
-	timeout := root.row.Timeout
-	if ms, err := strconv.ParseInt(req.Header.Get(headerTimeout), 10, 64); err == nil && ms > 0 {
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+func (r *Relay) rootCall(now time.Time, p *policy, terms Terms) *call {
+	timeout := p.timeout
+	if terms.Patience > 0 {
+		timeout = min(timeout, terms.Patience)
 	}
 	c := &call{
-		budget: chain.NewBudget(root.row.Retries),
+		attempts: p.attempts,
+		budget:   chain.NewBudget(p.retries),
 		chain: chain.Chain{
-			Customer:   root.customer,
-			Importance: root.row.Importance,
-			Service:    rows.Service(req.URL.Path),
-			Weight:     root.row.Weight,
+			Caller:     r.Service,
+			Customer:   p.customer,
+			Importance: p.importance,
+			Service:    p.service,
+			Weight:     p.weight,
 		},
 		deadline:   now.Add(timeout),
-		idempotent: root.row.Idempotent || idempotent(req.Method),
-		maxBody:    root.row.MaxBody,
+		idempotent: p.idempotent,
+		maxBody:    p.maxBody,
+	}
+	if p.inner {
+		c.chain.Depth = 1
+	}
+	for i := 0; i < len(c.chain.ID); i += 8 {
+		binary.LittleEndian.PutUint64(c.chain.ID[i:], rand.Uint64())
 	}
-	_, _ = rand.Read(c.chain.ID[:])
 	return c
 }
 
@@ -113,6 +69,7 @@
 		return nil, refuse.New(refuse.DeadlineExceeded, 0, "the root request's deadline has passed")
 	}
 	c := &call{
+		attempts:    maxAttempts,
 		budget:      running.Budget,
 		chain:       running.Chain,
 		context:     running.Context,
@@ -151,11 +108,9 @@
 	return false
 }
 
-// answerID is what the answer to a call must show.
+// answerID is what the answer to a call must show. The numbers of a node's
+// calls begin at a random one, so that an answer to an earlier process of the
+// node does not match.
 func answerID(c *chain.Chain) string {
-	var b strings.Builder
-	b.WriteString(c.ID.String())
-	b.WriteByte('.')
-	b.WriteString(strconv.FormatUint(c.Call, 16))
-	return b.String()
+	return strconv.FormatUint(c.Call, 36)
 }
--- a/internal/request/relay/headers.go
+++ b/internal/request/relay/headers.go
@@ -16,9 +16,13 @@
 	headerIdempotency = "Idempotency-Key"
 	headerKey         = chain.Prefix + "Key"
 	headerTimeout     = chain.Prefix + "Timeout-Ms"
+	headerUserAgent   = "User-Agent"
 	bearer            = "Bearer "
 )
 
+// noUserAgent keeps net/http from adding a User-Agent of its own.
+var noUserAgent = []string{""}
+
 // hopByHop are the headers that are meant for one connection only.
 var hopByHop = map[string]bool{
 	"Connection":          true,
@@ -33,21 +37,13 @@
 	"Upgrade":             true,
 }
 
-// reserved reports whether a header's name could pass as one of the system's.
-func reserved(name string) bool {
-	if len(name) < len(chain.Prefix) {
-		return false
-	}
-	return strings.EqualFold(strings.ReplaceAll(name[:len(chain.Prefix)], "_", "-"), chain.Prefix)
-}
-
 // forward returns a copy of a header without what is meant for one connection
-// and without what could pass as the system's.
-func forward(header http.Header) http.Header {
+// and without what only the node sets.
+func (r *Relay) forward(header http.Header) http.Header {
 	named := connectionNamed(header)
 	out := make(http.Header, len(header)+4)
 	for name, values := range header {
-		if hopByHop[name] || named[name] || reserved(name) {
+		if hopByHop[name] || named[name] || r.Dialect.Reserved(name) || (native{}).Reserved(name) {
 			continue
 		}
 		out[name] = values
@@ -57,10 +53,10 @@
 
 // forwardRequest returns a copy of a request's header to send on. A request
 // without a User-Agent gets none.
-func forwardRequest(header http.Header) http.Header {
-	out := forward(header)
-	if _, ok := out["User-Agent"]; !ok {
-		out["User-Agent"] = []string{""}
+func (r *Relay) forwardRequest(header http.Header) http.Header {
+	out := r.forward(header)
+	if _, ok := out[headerUserAgent]; !ok {
+		out[headerUserAgent] = noUserAgent
 	}
 	return out
 }
@@ -146,7 +142,7 @@
 	}
 	out := make(http.Header, len(trailer))
 	for name := range trailer {
-		if !hopByHop[name] && !reserved(name) {
+		if !hopByHop[name] && !(native{}).Reserved(name) {
 			out[name] = nil
 		}
 	}
--- a/internal/request/relay/headers_test.go
+++ b/internal/request/relay/headers_test.go
@@ -39,7 +39,7 @@
 	}
 	var out strings.Builder
 	fmt.Fprintf(&out, "key %q\n", key)
-	header := forward(request.Header)
+	header := New(Options{}).forward(request.Header)
 	names := make([]string, 0, len(header))
 	for name := range header {
 		names = append(names, name)
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -36,7 +36,7 @@
 	now := time.Now()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	if !fleet.Verify(req.Header, r.proof) {
+	if !fleet.Verify(req.Header, r.proofFor(r.Self)) {
 		http.Error(w, "the fleet's secret is wrong", http.StatusForbidden)
 		return
 	}
@@ -80,10 +80,10 @@
 func (r *Relay) incoming(w http.ResponseWriter, req *http.Request, cancel context.CancelCauseFunc) (*http.Request, *upload) {
 	request := &http.Request{
 		ContentLength: req.ContentLength,
-		Header:        forwardRequest(req.Header),
+		Header:        r.forwardRequest(req.Header),
 		Host:          req.Host,
 		Method:        req.Method,
-		URL:           &url.URL{ForceQuery: req.URL.ForceQuery, Opaque: strings.TrimPrefix(req.URL.EscapedPath(), PathCall), RawQuery: req.URL.RawQuery},
+		URL:           &url.URL{ForceQuery: req.URL.ForceQuery, Opaque: strings.TrimPrefix(rawPath(req), PathCall), RawQuery: req.URL.RawQuery},
 	}
 	if req.ContentLength == 0 {
 		return request, nil
@@ -102,6 +102,7 @@
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
 	deadline time.Time
+	instance string // of the upstream, empty for unknown
 	relay    *Relay
 	running  *chain.Running
 	span     trace.Span
@@ -114,7 +115,7 @@
 	if r.leaving.Load() {
 		return nil, refuse.New(refuse.Draining, graceRetry, "the upstream's node is leaving")
 	}
-	address, ok := r.Local.Upstream(c.Service)
+	address, instance, ok := r.Local.Upstream(c.Service)
 	if !ok {
 		return nil, refuse.New(refuse.NoUpstream, graceRetry, "the upstream takes no requests")
 	}
@@ -130,7 +131,7 @@
 		r.Gate.Abandon(time.Now(), ticket)
 		return nil, refuse.New(refuse.Overloaded, suspectRetry, "another request that may crash the upstream runs there")
 	}
-	p := &placement{address: address, deadline: deadline, relay: r, ticket: ticket}
+	p := &placement{address: address, deadline: deadline, instance: instance, relay: r, ticket: ticket}
 	ctx, p.cancel = context.WithCancelCause(ctx)
 	p.ctx, p.span = r.Tracer.Start(spans.Context(ctx, c), "upstream")
 	p.running = &chain.Running{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: p.ctx, Deadline: deadline}
@@ -145,13 +146,19 @@
 // call sends the request to the upstream. It returns the retries that the call
 // did not use.
 func (p *placement) call(request *http.Request) (*answer, int, *refuse.Refusal) {
-	request.Header[chain.HeaderToken] = []string{p.token}
+	p.deliver(request)
+	var verdict Verdict
 	response, err := p.relay.Pool.Do(p.ctx, &pool.Call{
+		Accept: func(response *http.Response) bool {
+			verdict = p.relay.Dialect.Read(request.Header, response)
+			return !verdict.Stray
+		},
 		Deadline: p.deadline,
 		Idle:     p.relay.Idle,
 		Request:  request,
 		Silence:  p.relay.FirstByte,
 		To:       p.address,
+		Unframed: p.relay.Catalog != nil,
 	})
 	left := p.running.Budget.Close()
 	if err != nil {
@@ -159,11 +166,43 @@
 		p.leave(true)
 		return nil, left, p.upstreamFailed(err)
 	}
-	response.Header = forward(response.Header)
+	if refusal := p.turnedAway(verdict); refusal != nil {
+		if err := discard(response); err != nil {
+			p.relay.Stats.Answers.Add("Cut", 1)
+		}
+		p.leave(true)
+		return nil, left, refusal
+	}
+	response.Header = p.relay.forward(response.Header)
 	failed := response.StatusCode >= http.StatusInternalServerError
 	return &answer{finish: func(whole bool) { p.leave(failed || !whole) }, response: response}, left, nil
 }
 
+// deliver completes the header of a request to the upstream.
+func (p *placement) deliver(request *http.Request) {
+	c := &p.running.Chain
+	p.relay.Dialect.Deliver(request.Header, Delivery{
+		Caller:    c.Caller,
+		Customer:  c.Customer,
+		Instance:  p.instance,
+		Remaining: p.deadline.Sub(time.Now()),
+		Token:     p.token,
+	})
+}
+
+// turnedAway returns the refusal of a request that the upstream did not run, or
+// nil if it did.
+func (p *placement) turnedAway(verdict Verdict) *refuse.Refusal {
+	switch {
+	case verdict.Moved:
+		p.relay.Local.Crashed()
+		return refuse.New(refuse.NoUpstream, graceRetry, "another upstream has taken the address")
+	case verdict.NotRun:
+		return refuse.New(refuse.Shed, graceRetry, "the upstream turned the request away")
+	}
+	return nil
+}
+
 // checkCrash finds out whether the upstream is gone, and whether it crashed
 // while it worked on the request.
 func (p *placement) checkCrash(err error) {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -38,8 +39,15 @@
 	graceRetry = time.Second
 )
 
-// maxAttempts bounds the upstreams tried for one call.
-const maxAttempts = 3
+// Bounds of the tries for one call.
+const (
+	// maxAttempts is the number of upstreams that may be sent a call, where the
+	// configuration does not say it.
+	maxAttempts = 3
+	// maxSends is the number of nodes that may be sent a call, with those that
+	// refuse it before it reaches an upstream.
+	maxSends = 5
+)
 
 // Admitter admits requests within their customers' rates.
 type Admitter interface {
@@ -66,16 +74,20 @@
 	// Crashed marks the upstream as gone until it announces itself again.
 	Crashed()
 	// Upstream returns the address of the upstream of a service that takes
-	// requests, or false.
-	Upstream(service string) (netip.AddrPort, bool)
+	// requests and what identifies its start, or false.
+	Upstream(service string) (address netip.AddrPort, instance string, ok bool)
 }
 
 // Options are what a Relay works with.
 type Options struct {
-	Admitter  Admitter
-	Claimer   Claimer
-	Config    *snaps.Holder
-	Crashes   Crashes
+	Admitter Admitter
+	// Catalog holds the catalog that takes the place of the table, nil for none.
+	Catalog *snaps.Holder
+	Claimer Claimer
+	Config  *snaps.Holder
+	Crashes Crashes
+	// Dialect is the product's own if it is nil.
+	Dialect   Dialect
 	FirstByte time.Duration
 	Gate      *gates.Gate
 	Idle      time.Duration
@@ -84,10 +96,13 @@
 	Pool      *pool.Pool
 	Secret    *fleet.Secret
 	Self      netip.AddrPort
-	Stats     *stats.Stats
-	Table     *member.Table
-	Tracer    trace.Tracer
-	Zone      string
+	// Service is the service of the upstream beside the node, where it is known
+	// beforehand.
+	Service string
+	Stats   *stats.Stats
+	Table   *member.Table
+	Tracer  trace.Tracer
+	Zone    string
 }
 
 // Relay carries requests. Lock order: the locks of its parts are leaves.
@@ -97,21 +112,26 @@
 	calls    atomic.Uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
-	proof    string
 	proofs   sync.Map // from netip.AddrPort to string
-	ratio    *chain.Ratio
+	ratios   *chain.Ratios
+	shares   *shares
 	tokens   *chain.Tokens
 }
 
 // New returns a Relay.
 func New(options Options) *Relay {
-	return &Relay{
+	if options.Dialect == nil {
+		options.Dialect = native{}
+	}
+	r := &Relay{
 		Options: options,
 		balance: NewBalance(options.Self, options.Zone),
-		proof:   options.Secret.Proof(options.Self),
-		ratio:   chain.NewRatio(),
+		ratios:  chain.NewRatios(),
+		shares:  newShares(),
 		tokens:  chain.NewTokens(),
 	}
+	r.calls.Store(rand.Uint64())
+	return r
 }
 
 // Leave makes the relay refuse new requests for the upstream beside the node.
@@ -130,6 +150,12 @@
 	r.balance.Prune(now, idle)
 }
 
+// SetRetryBounds sets the part of a service's requests that this node may send
+// again, and the number up to which such retries may add up.
+func (r *Relay) SetRetryBounds(ratio, most float64) {
+	r.ratios.SetBounds(ratio, most)
+}
+
 // InFlight returns the number of requests that the relay holds.
 func (r *Relay) InFlight() int {
 	return int(r.inFlight.Load())
@@ -146,29 +172,35 @@
 	if r.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	root, refusal := r.identify(now, req)
+	terms, refusal := r.Dialect.Terms(req)
 	if refusal != nil {
-		r.refuse(w, root.customer, refusal)
+		r.refuse(w, "", refusal)
 		return
 	}
-	limit := quota.Limit{Burst: root.row.Burst, Rate: root.row.Rate}
-	if refusal := r.Admitter.Admit(req.Context(), now, quota.Key{Customer: root.customer, Route: root.row.Route}, limit); refusal != nil {
-		r.refuse(w, root.customer, refusal)
+	p, refusal := r.identify(now, req, terms)
+	if refusal != nil {
+		r.refuse(w, p.customer, refusal)
 		return
 	}
-	r.Stats.Admitted.Add(root.customer, 1)
-	r.ratio.First()
-	c := r.rootCall(now, req, root)
-	if key := req.Header.Get(headerIdempotency); key != "" && !c.idempotent && root.customer != "" {
-		release, refusal := r.Claimer.Claim(req.Context(), root.customer, key)
+	if p.limit.Rate > 0 {
+		if refusal := r.Admitter.Admit(req.Context(), now, p.rate, p.limit); refusal != nil {
+			r.refuse(w, p.customer, refusal)
+			return
+		}
+	}
+	r.Stats.Admitted.Add(p.customer, 1)
+	r.ratios.First(p.service)
+	c := r.rootCall(now, &p, terms)
+	if key := req.Header.Get(headerIdempotency); key != "" && !c.idempotent && p.customer != "" && r.Catalog == nil {
+		release, refusal := r.Claimer.Claim(req.Context(), p.customer, key)
 		if refusal != nil {
-			r.refuse(w, root.customer, refusal)
+			r.refuse(w, p.customer, refusal)
 			return
 		}
 		c.release = release
 	}
 	r.serve(w, req, c)
-	r.Stats.Observe(root.row.Route, root.customer, time.Since(now))
+	r.Stats.Observe(p.route, p.customer, time.Since(now))
 }
 
 // ServeUpstream serves a sub-call of the upstream beside the node.
@@ -186,7 +218,7 @@
 		r.refuse(w, running.Chain.Customer, refusal)
 		return
 	}
-	r.ratio.First()
+	r.ratios.First(call.chain.Service)
 	if !r.serve(w, req, call) {
 		running.Budget.Fail(call.fingerprint)
 	}
@@ -198,7 +230,9 @@
 		return proof.(string)
 	}
 	proof := r.Secret.Proof(node)
-	r.proofs.Store(node, proof)
+	if proof != "" {
+		r.proofs.Store(node, proof)
+	}
 	return proof
 }
 
@@ -208,5 +242,5 @@
 	if customer != "" {
 		r.Stats.Refused.Add(customer, 1)
 	}
-	refusal.WriteTo(w)
+	r.Dialect.Refuse(w, refusal)
 }
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -87,7 +87,7 @@
 
 // prepare takes in the request's header, and its body if it is small.
 func (s *session) prepare(cancel context.CancelCauseFunc) *refuse.Refusal {
-	s.header = forwardRequest(s.request.Header)
+	s.header = s.relay.forwardRequest(s.request.Header)
 	length := s.request.ContentLength
 	if s.maxBody > 0 && length > s.maxBody {
 		return s.tooLarge()
@@ -128,28 +128,32 @@
 // attempts sends the call to one node after the other until one answers. A
 // refusal tells whether any of them may have run it.
 func (s *session) attempts() (*answer, *refuse.Refusal) {
-	var last *refuse.Refusal
+	var last, refusal *refuse.Refusal
 	var tried []netip.AddrPort
+	reached := 0
 	ran := refuse.NotRun
-	for range maxAttempts {
+	for range maxSends {
 		now := time.Now()
-		if !now.Before(s.deadline) || s.ctx.Err() != nil {
+		if !now.Before(s.deadline) || s.ctx.Err() != nil || reached >= s.call.attempts {
 			break
 		}
 		nodes := s.relay.Table.View().Service(s.chain.Service)
 		node, ok := s.relay.balance.Choose(now, nodes, tried)
-		if !ok || (last != nil && !s.mayMoveOn(last)) {
+		if !ok || (refusal != nil && !s.mayMoveOn(refusal)) {
 			break
 		}
-		a, refusal := s.send(now, node)
-		if refusal == nil {
+		var a *answer
+		if a, refusal = s.send(now, node); refusal == nil {
 			return a, nil
 		}
-		last = refusal
+		last = worse(last, refusal)
 		tried = append(tried, node)
 		if refusal.Ran == refuse.MayHaveRun {
 			ran = refuse.MayHaveRun
 		}
+		if refusal.Ran == refuse.MayHaveRun || refusal.Cause == refuse.Shed {
+			reached++
+		}
 	}
 	if last == nil {
 		last = refuse.New(refuse.NoUpstream, graceRetry, "no upstream takes requests of the service")
@@ -158,6 +162,15 @@
 	return nil, last
 }
 
+// worse returns the refusal that tells more: that a node has no upstream, or
+// leaves, tells less than that another had no room.
+func worse(earlier, later *refuse.Refusal) *refuse.Refusal {
+	if earlier != nil && (later.Cause == refuse.NoUpstream || later.Cause == refuse.Draining) {
+		return earlier
+	}
+	return later
+}
+
 // mayMoveOn reports whether a call that was refused may go to another node. A
 // call that may have run only does if it is idempotent, and as a retry, and only
 // once, for it may be what makes upstreams crash.
@@ -170,17 +183,17 @@
 		if !s.idempotent || s.retried || refusal.Cause != refuse.UpstreamFailed {
 			return false
 		}
-		if !s.relay.ratio.Retry() || !s.budget.Take() {
+		if !s.relay.ratios.Retry(s.chain.Service) || !s.budget.Take() {
 			return false
 		}
 		s.retried = true
 		s.relay.Stats.Retries.Add("Failed", 1)
 		return true
-	case refusal.Cause == refuse.Overloaded:
-		if !s.relay.ratio.Retry() {
+	case refusal.Cause == refuse.Overloaded, refusal.Cause == refuse.Shed:
+		if !s.relay.ratios.Retry(s.chain.Service) {
 			return false
 		}
-		s.relay.Stats.Retries.Add("Overloaded", 1)
+		s.relay.Stats.Retries.Add(string(refusal.Cause), 1)
 		return true
 	case refusal.Cause == refuse.Draining, refusal.Cause == refuse.NoUpstream, refusal.Cause == refuse.UpstreamFailed:
 		s.relay.Stats.Retries.Add("NotRun", 1)
@@ -255,6 +268,7 @@
 	}
 	request := s.outgoing(PathCall)
 	request.Header[chain.Header] = []string{encoded}
+	request.Header[headerUserAgent] = noUserAgent
 	request.Header[fleet.Header] = []string{s.relay.proofFor(node)}
 	response, err := s.relay.Pool.Do(s.ctx, &pool.Call{
 		AwaitContinue: s.upload != nil,
@@ -276,6 +290,9 @@
 	}
 	left, _ := strconv.Atoi(response.Header.Get(chain.HeaderLeft))
 	if refusal := refuse.Parse(response.Header); refusal != nil {
+		if refusal.Cause == refuse.NoUpstream || refusal.Cause == refuse.Draining {
+			s.relay.balance.Eject(time.Now(), node)
+		}
 		s.suspect = s.suspect || (refusal.Cause == refuse.UpstreamFailed && refusal.Ran == refuse.MayHaveRun)
 		_ = discard(response)
 		return nil, left, refusal
@@ -306,7 +323,7 @@
 		Header:        header,
 		Host:          s.request.Host,
 		Method:        s.request.Method,
-		URL:           &url.URL{ForceQuery: s.request.URL.ForceQuery, Opaque: below + s.request.URL.EscapedPath(), RawQuery: s.request.URL.RawQuery},
+		URL:           &url.URL{ForceQuery: s.request.URL.ForceQuery, Opaque: below + rawPath(s.request), RawQuery: s.request.URL.RawQuery},
 	}
 	if body := small(s.kept); body != nil {
 		request.Body = body
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -26,7 +26,7 @@
 	response := a.response
 	header := w.Header()
 	for name, values := range response.Header {
-		if !hopByHop[name] && !reserved(name) {
+		if !hopByHop[name] && !(native{}).Reserved(name) {
 			header[name] = values
 		}
 	}
@@ -49,7 +49,7 @@
 	}
 	whole = true
 	for name, values := range response.Trailer {
-		if !hopByHop[name] && !reserved(name) {
+		if !hopByHop[name] && !(native{}).Reserved(name) {
 			header[http.TrailerPrefix+name] = values
 		}
 	}
--- a/internal/version/kinds/kinds.go
+++ b/internal/version/kinds/kinds.go
@@ -27,6 +27,10 @@
 	PrefixSeeds      = Root + "Seeds/"
 )
 
+// SecretKey is the key of the fleet's secret, where no setting has it. It is
+// not below Root, so that it is not passed on.
+const SecretKey = "WasabibendSecret/Fleet"
+
 // KeyPrefix begins each key.
 const KeyPrefix = "wbk_"
 
@@ -130,6 +134,19 @@
 	return nil
 }
 
+// Secret is the secret that all nodes share.
+type Secret struct {
+	Text string
+}
+
+// Check returns an error if the object is not valid.
+func (o *Secret) Check() error {
+	if o.Text == "" {
+		return trace.BadParameter("Text is missing")
+	}
+	return nil
+}
+
 // Checker is implemented by the kinds of objects.
 type Checker interface {
 	Check() error
--- a/internal/version/snaps/change.go
+++ b/internal/version/snaps/change.go
@@ -32,6 +32,8 @@
 	switch {
 	case object.Value == nil:
 		return true
+	case c.snapshot.isCatalog(object.Key):
+		return c.putCatalog(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixAllocators):
 		return c.putAllocator(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixKeys):
--- a/internal/version/snaps/holder.go
+++ b/internal/version/snaps/holder.go
@@ -47,9 +47,12 @@
 }
 
 // NewHolder returns a Holder with an empty snapshot.
-func NewHolder() *Holder {
+func NewHolder(options ...Option) *Holder {
 	h := &Holder{last: make(map[string]store.Object)}
 	h.snapshot.Store(newSnapshot())
+	for _, option := range options {
+		option(h)
+	}
 	return h
 }
 
--- a/internal/version/snaps/snapshot.go
+++ b/internal/version/snaps/snapshot.go
@@ -30,9 +30,11 @@
 type Snapshot struct {
 	revision   uint64
 	allocators map[shardID]kinds.Allocator
+	catalog    *catalog // nil for none
 	keys       map[string]kinds.KeyObject
 	rows       map[string]map[rowID]*rows.Row
 	seeds      map[string][]netip.AddrPort
+	source     *catalogSource // of the catalog; nil for none
 }
 
 func newSnapshot() *Snapshot {
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -18,19 +18,31 @@
 	PathAnnounce = "/.wasabibend/announce"
 	// PathMetrics shows a node's metrics.
 	PathMetrics = "/metrics"
+	// PathReady tells by its status whether a node takes requests.
+	PathReady = "/ready"
 	// PathStatus shows a node's status.
 	PathStatus = "/status"
 )
 
-// Announcement is what an upstream tells the node on its host. It is repeated
-// every second; an upstream that was silent for three is taken as gone.
+// Announcement is what an upstream tells the node on its host. It is repeated;
+// an upstream that was silent for long is taken as gone.
 type Announcement struct {
 	// Address is where the upstream takes requests.
 	Address netip.AddrPort
+	// Born is when the upstream started, zero for unknown. Of two starts the
+	// later one counts.
+	Born time.Time
 	// Draining tells that the upstream takes no new requests.
 	Draining bool
+	// Instance identifies the start of the upstream, empty for unknown.
+	Instance string
+	// Sequence rises with each announcement of a start, 0 for unknown.
+	Sequence uint64
 	// Service is the name of the upstream's service.
 	Service string
+	// Slots is the number of requests that the upstream works on at a time, 0
+	// for unknown.
+	Slots int
 }
 
 // Check returns an error if the announcement is not valid.
@@ -41,6 +53,9 @@
 	if a.Service == "" || len(a.Service) > 64 {
 		return trace.BadParameter("Service: want a name of at most 64 bytes")
 	}
+	if a.Slots < 0 || len(a.Instance) > 256 {
+		return trace.BadParameter("Slots and Instance: want 0 or more, and at most 256 bytes")
+	}
 	return nil
 }
 
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -41,6 +41,7 @@
 	Repeated         Cause = "Repeated"
 	RetriesExceeded  Cause = "RetriesExceeded"
 	RouteUnknown     Cause = "RouteUnknown"
+	Shed             Cause = "Shed"
 	TokenRejected    Cause = "TokenRejected"
 	UpstreamFailed   Cause = "UpstreamFailed"
 )
@@ -65,6 +66,7 @@
 	Repeated:         http.StatusConflict,
 	RetriesExceeded:  http.StatusServiceUnavailable,
 	RouteUnknown:     http.StatusNotFound,
+	Shed:             http.StatusServiceUnavailable,
 	TokenRejected:    http.StatusForbidden,
 	UpstreamFailed:   http.StatusBadGateway,
 }
