Confirm leases by promises first and keep seeds apart from followed records

Change: a holder asks the other candidates for promises and reads the store only where these fail or the candidates should change; a promise outside an outage does not keep a candidate from taking over, only from dealing before it ends. Seeds have a kind of their own, which one node of a zone looks after.

--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -24,9 +24,6 @@
 	pingTimeout   = 800 * time.Millisecond
 	rejoinEvery   = 5 * time.Second
 	syncAfter     = 2 // pings with differing digests
-	// watchersAZone is the number of nodes of an availability zone that watch
-	// the platform. Changes reach the others over their peers.
-	watchersAZone = 8
 )
 
 // deltaBytes bounds the objects in one answer to a pull.
@@ -266,11 +263,11 @@
 	a.round(ctx)
 }
 
-// Watches reports whether the node is one of those of its availability zone
-// that watch the platform.
-func (a *Agent) Watches() bool {
+// Watches reports whether the node is among the first ones of its availability
+// zone, which watch the platform for the others.
+func (a *Agent) Watches(first int) bool {
 	self := a.table.Self()
-	for _, r := range a.table.View().Zone(self.Zone, watchersAZone) {
+	for _, r := range a.table.View().Zone(self.Zone, first) {
 		if r.Peers == self.Peers {
 			return true
 		}
--- a/internal/process/quota/keep.go
+++ b/internal/process/quota/keep.go
@@ -124,10 +124,18 @@
 	}
 }
 
-// confirm learns from the platform, or else from the other candidates, that
-// the node still holds the allocator.
+// confirm learns from the other candidates, or else from the platform, that the
+// node still holds the allocator. Promises cost messages within the
+// availability zone, and reads are priced, so the platform is only asked where
+// promises do not do.
 func (c *Client) confirm(ctx context.Context, shard int, lease *Lease) {
 	sent := time.Now()
+	term, peers := lease.Promisers()
+	if term != 0 && c.sameCandidates(shard, peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
+		lease.ConfirmByPromises(sent, term, false)
+		return
+	}
+	sent = time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, confirmTime)
 	defer cancel()
 	object, err := c.Store.Get(callCtx, kinds.AllocatorKey(c.Zone, shard))
@@ -143,20 +151,34 @@
 		return
 	}
 	sent = time.Now()
-	if term, peers := lease.Promisers(); term != 0 && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
-		lease.ConfirmByPromises(sent, term)
+	if term, peers := lease.Promisers(); term != 0 && c.allPromise(ctx, promise{Outage: true, Shard: shard, Term: term, Zone: c.Zone}, peers) {
+		lease.ConfirmByPromises(sent, term, true)
 	}
 }
 
-// updateCandidates records the nodes that may take over, if they changed.
-func (c *Client) updateCandidates(ctx context.Context, shard int, lease *Lease, record *kinds.Allocator, version uint64) {
-	next := []netip.AddrPort{c.Self}
+// sameCandidates reports whether the nodes that promise are still those that
+// should be candidates.
+func (c *Client) sameCandidates(shard int, peers []netip.AddrPort) bool {
+	wanted := c.wantedCandidates(shard)
+	return len(peers)+1 == len(wanted) && !slices.ContainsFunc(peers, func(p netip.AddrPort) bool { return !slices.Contains(wanted, p) })
+}
+
+// wantedCandidates returns the node and those that should be able to take over
+// from it, sorted.
+func (c *Client) wantedCandidates(shard int) []netip.AddrPort {
+	wanted := []netip.AddrPort{c.Self}
 	for _, r := range c.rank(shard) {
-		if r.Peers != c.Self && len(next) < candidates {
-			next = append(next, r.Peers)
+		if r.Peers != c.Self && len(wanted) < candidates {
+			wanted = append(wanted, r.Peers)
 		}
 	}
-	slices.SortFunc(next, netip.AddrPort.Compare)
+	slices.SortFunc(wanted, netip.AddrPort.Compare)
+	return wanted
+}
+
+// updateCandidates records the nodes that may take over, if they changed.
+func (c *Client) updateCandidates(ctx context.Context, shard int, lease *Lease, record *kinds.Allocator, version uint64) {
+	next := c.wantedCandidates(shard)
 	if slices.Equal(next, record.Candidates) {
 		return
 	}
@@ -224,9 +246,12 @@
 // promise asks a candidate not to take over from the holder of a term, or the
 // holder whether it holds it.
 type promise struct {
-	Shard int
-	Term  uint64
-	Zone  string
+	// Outage tells that the holder goes on although the platform does not
+	// answer.
+	Outage bool `cbor:",omitempty"`
+	Shard  int
+	Term   uint64
+	Zone   string
 }
 
 // Check implements wire.Checker.
@@ -285,7 +310,7 @@
 	if !known || p.Zone != c.Zone || p.Shard >= len(c.leases) {
 		return promised{}, nil
 	}
-	return promised{OK: c.leases[p.Shard].Promise(time.Now(), p.Term, &record)}, nil
+	return promised{OK: c.leases[p.Shard].Promise(time.Now(), p.Term, &record, p.Outage)}, nil
 }
 
 // rank returns the living nodes of the availability zone in an order that
--- a/internal/process/quota/lease.go
+++ b/internal/process/quota/lease.go
@@ -28,8 +28,9 @@
 	confirmed time.Time // the holder knows that nobody took over before
 	outageAt  time.Time // an earlier holder may have gone on without the platform
 	peersAt   time.Time // of the last confirmation by promises
-	promised  time.Time // a candidate does not take over before
-	promiseAt time.Time // of the last promise
+	promised  time.Time // a candidate does not deal before
+	promiseAt time.Time // of the last promise in an outage
+	waitUntil time.Time // a candidate does not try to take over before
 	proposal  *proposal
 	record    kinds.Allocator
 	released  uint64    // the last term that the node gave up
@@ -47,7 +48,7 @@
 // NewLease returns the Lease of a node that starts. What an earlier process of
 // the node may have promised still holds.
 func NewLease(now time.Time, self netip.AddrPort) *Lease {
-	return &Lease{self: self, promised: now.Add(LeaseTime), promiseAt: now}
+	return &Lease{self: self, promised: now.Add(LeaseTime), promiseAt: now, waitUntil: now.Add(LeaseTime)}
 }
 
 // Confirm takes in the record that was read from the platform's store, or that
@@ -114,35 +115,44 @@
 }
 
 // ConfirmByPromises takes in that all other candidates of a term promised not
-// to take over, in answer to requests sent at a time.
-func (l *Lease) ConfirmByPromises(sent time.Time, term uint64) {
+// to take over, in answer to requests sent at a time, during an outage of the
+// platform or not.
+func (l *Lease) ConfirmByPromises(sent time.Time, term uint64, outage bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.allocator != nil && l.allocator.Term() == term && sent.After(l.confirmed) {
 		l.confirmed = sent
-		l.byPeers = true
-		l.peersAt = sent
+		l.byPeers = outage
+		if outage {
+			l.peersAt = sent
+		}
 	}
 }
 
-// Promise promises the holder of a term not to take over for LeaseTime. It
-// refuses if the node knows of a later term or is the holder itself.
-func (l *Lease) Promise(now time.Time, term uint64, known *kinds.Allocator) bool {
+// Promise promises the holder of a term not to deal for LeaseTime. It
+// refuses if the node knows of a later term or is the holder itself. In an
+// outage the holder goes on without the platform.
+func (l *Lease) Promise(now time.Time, term uint64, known *kinds.Allocator, outage bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.allocator != nil || known.Term != term || !slices.Contains(known.Candidates, l.self) {
 		return false
 	}
 	l.promised = now.Add(LeaseTime)
-	l.promiseAt = now
+	if outage {
+		l.promiseAt = now
+		l.waitUntil = l.promised
+	}
 	return true
 }
 
-// MayTakeOver reports whether a candidate may try to become the holder.
+// MayTakeOver reports whether a candidate may try to become the holder. It may
+// while its promise lasts, unless that was made in an outage: it then deals only
+// once the promise has ended.
 func (l *Lease) MayTakeOver(now time.Time, known *kinds.Allocator) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !now.Before(l.promised) && slices.Contains(known.Candidates, l.self)
+	return !now.Before(l.waitUntil) && slices.Contains(known.Candidates, l.self)
 }
 
 // CountSilent takes in whether the holder answered that it holds the
--- a/internal/process/quota/sessions_test.go
+++ b/internal/process/quota/sessions_test.go
@@ -64,9 +64,9 @@
 		s.leases[words[1]].Confirm(s.Now, s.Now, record, uint64(number(2)))
 	case "promise": // promise NODE TERM HOLDER CANDIDATE...
 		record := &kinds.Allocator{Candidates: addresses(words[4:]), Holder: address(words[3]), Term: uint64(number(2)), Zone: "zone"}
-		fmt.Fprintf(&s.Out, ": %t", s.leases[words[1]].Promise(s.Now, record.Term, record))
+		fmt.Fprintf(&s.Out, ": %t", s.leases[words[1]].Promise(s.Now, record.Term, record, true))
 	case "promised": // promised NODE TERM
-		s.leases[words[1]].ConfirmByPromises(s.Now, uint64(number(2)))
+		s.leases[words[1]].ConfirmByPromises(s.Now, uint64(number(2)), true)
 	case "take-over": // take-over NODE CANDIDATE...
 		record := &kinds.Allocator{Candidates: addresses(words[2:])}
 		fmt.Fprintf(&s.Out, ": %t", s.leases[words[1]].MayTakeOver(s.Now, record))
--- a/internal/version/kinds/kinds.go
+++ b/internal/version/kinds/kinds.go
@@ -24,7 +24,7 @@
 	PrefixClaims     = "WasabibendClaims/" // not below Root, for only holders read them
 	PrefixKeys       = Root + "Keys/"
 	PrefixRows       = Root + "Rows/"
-	PrefixSeeds      = Root + "Seeds/"
+	PrefixSeeds      = "WasabibendSeeds/" // not below Root, for few nodes read them
 )
 
 // SecretKey is the key of the fleet's secret, where no setting has it. It is
--- a/internal/version/snaps/change.go
+++ b/internal/version/snaps/change.go
@@ -14,8 +14,8 @@
 type change struct {
 	snapshot *Snapshot
 
-	allocators, keys, rows, seeds bool            // copied already
-	paths                         map[string]bool // copied already
+	allocators, keys, rows bool            // copied already
+	paths                  map[string]bool // copied already
 }
 
 // change begins the next snapshot.
@@ -40,8 +40,6 @@
 		return c.putKey(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixRows):
 		return c.putRow(object)
-	case strings.HasPrefix(object.Key, kinds.PrefixSeeds):
-		return c.putSeeds(object)
 	}
 	return true
 }
@@ -93,16 +91,6 @@
 	return true
 }
 
-func (c *change) putSeeds(object store.Object) bool {
-	var s kinds.Seeds
-	if kinds.Decode(object.Value, &s) != nil {
-		return false
-	}
-	own(&c.seeds, &c.snapshot.seeds)
-	c.snapshot.seeds[s.Zone] = s.Addresses
-	return true
-}
-
 // own copies a map before its first change.
 func own[K comparable, V any](copied *bool, m *map[K]V) {
 	if !*copied {
--- a/internal/version/snaps/snapshot.go
+++ b/internal/version/snaps/snapshot.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/subtle"
-	"net/netip"
 	"slices"
 	"strings"
 
@@ -33,7 +32,6 @@
 	catalog    *catalog // nil for none
 	keys       map[string]kinds.KeyObject
 	rows       map[string]map[rowID]*rows.Row
-	seeds      map[string][]netip.AddrPort
 	source     *catalogSource // of the catalog; nil for none
 }
 
@@ -42,7 +40,6 @@
 		allocators: make(map[shardID]kinds.Allocator),
 		keys:       make(map[string]kinds.KeyObject),
 		rows:       make(map[string]map[rowID]*rows.Row),
-		seeds:      make(map[string][]netip.AddrPort),
 	}
 }
 
@@ -148,12 +145,3 @@
 	})
 	return table
 }
-
-// Seeds returns the seeds of all availability zones.
-func (s *Snapshot) Seeds() []netip.AddrPort {
-	var all []netip.AddrPort
-	for _, addresses := range s.seeds {
-		all = append(all, addresses...)
-	}
-	return all
-}
