Admit requests at their entry by the wait at what their route leads to

Ruled out: more retries (they are bounded and the service has no room).

Change: each answer between nodes carries how long requests waited lately, at the gate or at what the upstream calls for the route, which the node learns by finding the parent of a sub-call from the deadline that the upstream passes on. The entry bounds the requests of a route that are in the graph at a time, lowers the bound while that wait is longer than the route's importance allows, and raises it while it holds requests back. Gates serve in the order in which the roots' answers are due, and leave a sixteenth of the slots free.

--- a/internal/fakes/objapi/memory.go
+++ b/internal/fakes/objapi/memory.go
@@ -75,7 +75,7 @@
 }
 
 // Watch implements store.Store. It does not wait.
-func (m *Memory) Watch(ctx context.Context, prefix string, from uint64) (store.Listing, error) {
+func (m *Memory) Watch(ctx context.Context, prefix string, from uint64, _ time.Duration) (store.Listing, error) {
 	if err := m.reach(ctx, func(c *Counts) *int { return &c.Watches }); err != nil {
 		return store.Listing{}, err
 	}
--- /dev/null
+++ b/internal/process/admit/admit.go
@@ -0,0 +1,166 @@
+// Package admit decides at its entry whether a request is let into the call
+// graph. Once requests wait for long at a service that a route leads to, through
+// whatever calls, only as many requests of the route are let in at a time as
+// keep that wait short. A request that is refused here has cost nothing, while
+// one that fails deep in the graph has wasted what its callers have done.
+package admit
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wasabibend/wasabibend/internal/process/gates"
+	"github.com/wasabibend/wasabibend/pkg/rows"
+)
+
+// Bounds of a limit.
+const (
+	// interval is how often a limit is adapted: some times the service time of
+	// short requests.
+	interval = 50 * time.Millisecond
+	// fall is the most that a limit falls in one interval. It takes a few
+	// intervals until a change shows, as admitted requests go on.
+	fall = 0.1
+	// growth is the most that a limit grows in one interval.
+	growth = 0.1
+	// least is the least limit. Single requests find out whether there is room.
+	least = 1
+	// fullPart is the part of a limit in use from which on it may hold requests
+	// back.
+	fullPart = 0.8
+)
+
+// Waits that requests of the most important route, and of those ranked below,
+// may bring about: the less important, the sooner they are refused.
+const (
+	waitMost  = 80 * time.Millisecond
+	waitRatio = 0.5 // from one rank to the next
+	waitLeast = 10 * time.Millisecond
+)
+
+// Request is a request at its entry.
+type Request struct {
+	// Importance is from 0 to rows.MaxImportance.
+	Importance int
+	// Objective is the time within which an answer is worth most, 0 for none.
+	Objective time.Duration
+	// Route is the route's name.
+	Route string
+}
+
+// Limits hold a limit for each route. Their lock is a leaf.
+type Limits struct {
+	mu     sync.Mutex
+	routes map[string]*limit
+}
+
+// limit bounds the requests of a route that are in the graph at a time.
+type limit struct {
+	adapted  time.Time
+	inFlight int
+	most     float64
+	peak     int // since it was adapted
+	wait     *gates.Wait
+}
+
+// New returns Limits that hold nothing back yet.
+func New() *Limits {
+	return &Limits{routes: make(map[string]*limit)}
+}
+
+// Enter reports whether a request is let in. If it is, Leave must follow. If it
+// is not, it returns when the caller should come back.
+func (l *Limits) Enter(now time.Time, r Request) (retryAfter time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim := l.limit(now, r.Route)
+	lim.adapt(now, allowedWait(r.Importance))
+	if float64(lim.inFlight) >= lim.most {
+		lim.peak = max(lim.peak, lim.inFlight)
+		return comeBack(r.Objective), false
+	}
+	lim.inFlight++
+	lim.peak = max(lim.peak, lim.inFlight)
+	return 0, true
+}
+
+// Leave takes in that a request has its answer.
+func (l *Limits) Leave(now time.Time, route string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit(now, route).inFlight--
+}
+
+// Observe takes in how long requests of a route, or the calls that they make,
+// wait for their turn.
+func (l *Limits) Observe(now time.Time, route string, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit(now, route).wait.Observe(now, wait)
+}
+
+// Wait returns how long requests of a route, or the calls that they make, wait
+// for their turn lately.
+func (l *Limits) Wait(now time.Time, route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim := l.routes[route]
+	if lim == nil {
+		return 0
+	}
+	return lim.wait.Lately(now)
+}
+
+func (l *Limits) limit(now time.Time, route string) *limit {
+	lim := l.routes[route]
+	if lim == nil {
+		lim = &limit{adapted: now, most: math.Inf(1), wait: gates.NewWait()}
+		l.routes[route] = lim
+	}
+	return lim
+}
+
+// adapt lowers the limit while requests wait for longer than allowed, and raises
+// it while it holds requests back and they do not.
+func (lim *limit) adapt(now time.Time, allowed time.Duration) {
+	if now.Sub(lim.adapted) < interval {
+		return
+	}
+	over := lim.wait.Lately(now).Seconds()/allowed.Seconds() - 1
+	used := float64(lim.peak)
+	switch {
+	case over > 0:
+		lim.most = math.Max(math.Min(lim.most, used)*(1-fall*math.Min(over, 1)), least)
+	case used >= lim.most*fullPart:
+		lim.most += math.Max(lim.most*growth, 1) * math.Min(-over, 1)
+	}
+	lim.adapted = now
+	lim.peak = lim.inFlight
+}
+
+// allowedWait returns the wait that requests of an importance may bring about.
+func allowedWait(importance int) time.Duration {
+	wait := waitMost.Seconds() * math.Pow(waitRatio, float64(rows.MaxImportance-importance))
+	return max(time.Duration(wait*float64(time.Second)), waitLeast)
+}
+
+// Parts of a route's objective after which a refused caller should come back:
+// soon enough to be answered within it. The spread keeps callers that were
+// refused together from coming back together.
+const (
+	backLeast = 0.15
+	backMost  = 0.45
+)
+
+// backUnknown is when a caller of a route without an objective should come back.
+const backUnknown = time.Second
+
+func comeBack(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		objective = backUnknown
+	}
+	part := backLeast + (backMost-backLeast)*rand.Float64()
+	return time.Duration(part * float64(objective))
+}
--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -15,6 +15,8 @@
 // Load is what a gate tells other nodes of itself.
 type Load struct {
 	InFlight, Limit, Waiting int
+	// Wait is how long requests waited lately, here or at what they call.
+	Wait time.Duration
 }
 
 // Gate is the only way to the upstream beside the node. Its lock is a leaf.
@@ -69,10 +71,10 @@
 }
 
 // Load returns the gate's load.
-func (g *Gate) Load() Load {
+func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), Waiting: g.queue.Waiting()}
+	return Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
 }
 
 // Run looks at waiting requests until the context ends.
--- a/internal/process/gates/queue.go
+++ b/internal/process/gates/queue.go
@@ -1,6 +1,7 @@
 package gates
 
 import (
+	"math"
 	"time"
 )
 
@@ -9,6 +10,9 @@
 	// maxLead is the number of requests, at weight 1, by which a customer that
 	// asked for less may be served before others.
 	maxLead = 8
+	// duePatience is the least time that a root request waits although its
+	// answer will be late.
+	duePatience = 20 * time.Millisecond
 	// maxWait bounds the time in the queue of requests that are not critical.
 	maxWait = 200 * time.Millisecond
 	// queueLeast and queueMost bound the length of a queue that follows from
@@ -25,9 +29,12 @@
 
 // Ticket is a request at the gate.
 type Ticket struct {
-	Customer   string
-	Deadline   time.Time
-	Depth      int
+	Customer string
+	Deadline time.Time
+	Depth    int
+	// Due is when the answer of the root request should be there, zero for
+	// unknown. Requests that have one are served in the order of these times.
+	Due        time.Time
 	Importance int
 	Weight     float64
 
@@ -37,6 +44,20 @@
 	started  time.Time
 }
 
+// patience returns how long a ticket waits at most. A root request whose answer
+// would come late makes room for others.
+func (t *Ticket) patience() time.Duration {
+	switch {
+	case t.Depth > 0 && !t.Due.IsZero():
+		return t.Deadline.Sub(t.queuedAt)
+	case !t.Due.IsZero():
+		return max(t.Due.Sub(t.queuedAt), duePatience)
+	case t.critical():
+		return math.MaxInt64
+	}
+	return maxWait
+}
+
 func (t *Ticket) critical() bool {
 	return t.Importance >= criticalLeast
 }
@@ -45,6 +66,9 @@
 // a critical one before another: the more important first, then calls within a
 // chain before new ones, then in the order of arrival.
 func (t *Ticket) before(other *Ticket) bool {
+	if !t.Due.IsZero() && !other.Due.IsZero() {
+		return t.Due.Before(other.Due)
+	}
 	if t.Importance != other.Importance {
 		return t.Importance > other.Importance
 	}
@@ -64,12 +88,13 @@
 	mean     float64            // seconds in the upstream
 	served   map[string]float64 // requests by weight, by customer
 	turn     float64            // what the customer had been served that was served last
+	wait     *Wait
 	waiting  []*Ticket
 }
 
 // NewQueue returns an empty Queue with a Limiter.
 func NewQueue(limiter Limiter) *Queue {
-	return &Queue{limiter: limiter, served: make(map[string]float64)}
+	return &Queue{limiter: limiter, served: make(map[string]float64), wait: NewWait()}
 }
 
 // InFlight returns the number of requests in flight.
@@ -102,7 +127,7 @@
 		return false, []*Ticket{t}
 	}
 	q.waiting = append(q.waiting, t)
-	if len(q.waiting) > q.capacity() {
+	if len(q.waiting) > q.capacity() && (t.Due.IsZero() || len(q.waiting) > queueMost) {
 		return false, []*Ticket{q.remove(q.last())}
 	}
 	return false, nil
@@ -164,6 +189,7 @@
 	}
 	q.inFlight++
 	t.started = now
+	q.wait.Observe(now, now.Sub(t.queuedAt))
 	q.turn = max(q.servedTo(t.Customer), q.turn)
 	q.served[t.Customer] = q.servedTo(t.Customer) + 1/t.Weight
 }
@@ -174,6 +200,17 @@
 	return max(q.served[customer], q.turn-maxLead)
 }
 
+// Wait returns how long requests have waited lately.
+func (q *Queue) Wait(now time.Time) time.Duration {
+	oldest := now
+	for _, t := range q.waiting {
+		if t.queuedAt.Before(oldest) {
+			oldest = t.queuedAt
+		}
+	}
+	return max(q.wait.Lately(now), now.Sub(oldest)/2)
+}
+
 // capacity returns the number of requests that may wait: as many as the
 // upstream takes within the longest wait, but not fewer than it runs at a time.
 func (q *Queue) capacity() int {
@@ -203,7 +240,7 @@
 	mean := q.meanTime()
 	for i := 0; i < len(q.waiting); {
 		t := q.waiting[i]
-		if (!t.critical() && now.Sub(t.queuedAt) >= maxWait) || now.Add(mean).After(t.Deadline) {
+		if now.Sub(t.queuedAt) >= t.patience() || now.Add(mean).After(t.Deadline) {
 			refused = append(refused, q.remove(i))
 			continue
 		}
@@ -224,7 +261,7 @@
 }
 
 func (q *Queue) goesBefore(a, b *Ticket) bool {
-	if a.critical() || b.critical() || a.Customer == b.Customer {
+	if a.critical() || b.critical() || a.Customer == b.Customer || (!a.Due.IsZero() && !b.Due.IsZero()) {
 		return a.before(b)
 	}
 	if servedA, servedB := q.servedTo(a.Customer), q.servedTo(b.Customer); servedA != servedB {
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -50,7 +50,7 @@
 
 func (n *Node) status(now time.Time) *admin.Status {
 	self := n.table.Self()
-	load := n.gate.Load()
+	load := n.gate.Load(now)
 	status := &admin.Status{
 		AgeMS:      -1,
 		Allocators: n.quota.Holds(),
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -26,19 +26,27 @@
 	staleAfter = 10 * time.Second
 )
 
-// Numbers of the nodes of an availability zone that watch a part of the
-// platform's store. Changes reach the others over their peers, a ping later for
-// each hop, so the catalog, which must be in force within seconds, has more.
+// watchers is the number of nodes of an availability zone that watch the
+// platform. Changes reach the others over their peers.
+const watchers = 1
+
+// Waits of calls that watch the platform. A call that waits may miss a change
+// while the platform drops its history, and only a new call shows it.
 const (
-	catalogWatchers = 8
-	recordWatchers  = 2
+	// catalogWait is less than the two seconds within which a change of the
+	// catalog must be in force.
+	catalogWait = 1200 * time.Millisecond
+	// recordsWait bounds how long the nodes may not know of a new holder of an
+	// allocator.
+	recordsWait = 5 * time.Second
 )
 
 // feed is a part of the platform's store that the node follows.
 type feed struct {
 	holder   *snaps.Holder
-	prefix   string // of its keys
-	watchers int    // nodes of an availability zone that watch the platform
+	prefix   string        // of its keys
+	wait     time.Duration // of a call that watches the platform
+	watchers int           // nodes of an availability zone that watch the platform
 }
 
 // followAll joins the other nodes and keeps all feeds up to date.
@@ -88,7 +96,7 @@
 	var listing store.Listing
 	var err error
 	if from > 0 {
-		listing, err = n.store.Watch(ctx, f.prefix, from)
+		listing, err = n.store.Watch(ctx, f.prefix, from, f.wait)
 	}
 	if from == 0 || errors.Is(err, store.ErrGone) {
 		from = 0
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -137,10 +137,10 @@
 	for _, option := range options {
 		option(n)
 	}
-	n.feeds = []feed{{holder: n.config, prefix: kinds.Root, watchers: recordWatchers}}
+	n.feeds = []feed{{holder: n.config, prefix: kinds.Root, wait: recordsWait, watchers: watchers}}
 	if n.catalogDecoder != nil {
 		n.catalog = snaps.NewHolder(snaps.WithCatalog(n.catalogKey, n.catalogDecoder))
-		n.feeds = append(n.feeds, feed{holder: n.catalog, prefix: n.catalogPrefix, watchers: catalogWatchers})
+		n.feeds = append(n.feeds, feed{holder: n.catalog, prefix: n.catalogPrefix, wait: catalogWait, watchers: watchers})
 	}
 	holders := make([]*snaps.Holder, len(n.feeds))
 	for i, f := range n.feeds {
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -82,10 +82,15 @@
 	return a.Born.Before(u.current.Born)
 }
 
+// slotsInUse is the part of an upstream's slots that the node uses. Upstreams
+// may slow down when they are nearly full, and new connections and health checks
+// take slots too.
+const slotsInUse = 0.94
+
 // limiterOf returns the limiter of an upstream with a number of slots.
 func limiterOf(slots int) gates.Limiter {
 	if slots > 0 {
-		return gates.Static(slots)
+		return gates.Static(max(int(float64(slots)*slotsInUse), 1))
 	}
 	return gates.NewGradient()
 }
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -191,7 +191,7 @@
 func (n *testNode) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		from := n.config.Snapshot().Revision()
-		if listing, err := n.memory.Watch(ctx, kinds.Root, from); err == nil {
+		if listing, err := n.memory.Watch(ctx, kinds.Root, from, 0); err == nil {
 			if n.config.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
 				n.agent.Announce(ctx)
 			}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of a Store. Any other error leaves open whether a change took effect.
@@ -48,7 +49,7 @@
 	// Delete removes the object if its version is still the expected one.
 	Delete(ctx context.Context, key string, expected uint64) error
 	// Watch waits for changes past a revision and returns them. A Listing
-	// without objects means that nothing changed within the platform's wait. An
-	// error of ErrGone asks for a List.
-	Watch(ctx context.Context, prefix string, from uint64) (Listing, error)
+	// without objects means that nothing changed within the wait. An error of
+	// ErrGone asks for a List.
+	Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (Listing, error)
 }
--- a/internal/request/chain/chain.go
+++ b/internal/request/chain/chain.go
@@ -65,18 +65,27 @@
 	Customer string
 	// Depth is 0 for the root request.
 	Depth int
+	// Due is the time left until the answer of the root request should be there,
+	// negative once it is late. It counts if Objective is set.
+	Due time.Duration
 	// Fingerprint identifies equal calls of a customer.
 	Fingerprint crash.Fingerprint
 	// ID is the same for all calls of a chain.
 	ID ID
 	// Importance is that of the root request.
 	Importance int
+	// Objective tells that the answer of the root request has a time to be there.
+	Objective bool
 	// Parent is the span of the calling hop.
 	Parent SpanID
 	// Remaining is the time left to the whole answer of the root request.
 	Remaining time.Duration
+	// Repeat tells that the call, or one that led to it, was sent before.
+	Repeat bool
 	// Retries are the repeated calls that this call and its sub-calls may make.
 	Retries int
+	// Route is the route of the call, empty for one of the table.
+	Route string
 	// Service is the service called.
 	Service string
 	// Suspect tells that the call was sent before and may have crashed an
--- a/internal/request/chain/ratio.go
+++ b/internal/request/chain/ratio.go
@@ -51,6 +51,13 @@
 	return true
 }
 
+// Repeat counts a call that a retry brought about, which cannot be held back.
+func (r *Ratios) Repeat(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.services[service] = min(r.left(service), r.most) - 1
+}
+
 // left returns the retries left to a service. One that is new may use all.
 func (r *Ratios) left(service string) float64 {
 	if left, ok := r.services[service]; ok {
--- a/internal/request/chain/running.go
+++ b/internal/request/chain/running.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -13,7 +14,13 @@
 	Chain    Chain
 	Context  context.Context
 	Deadline time.Time
-	Span     SpanID
+	// Due is when the answer of the root request should be there, zero for
+	// unknown.
+	Due  time.Time
+	Span SpanID
+	// Told is the deadline that the upstream was told, which it passes on with
+	// its sub-calls.
+	Told time.Time
 }
 
 // Tokens are the requests that the upstream works on, by the tokens that it
@@ -30,7 +37,7 @@
 
 // Grant returns a new token for a request.
 func (t *Tokens) Grant(running *Running) string {
-	token := rand.Text()
+	token := strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running[token] = running
@@ -45,6 +52,21 @@
 	return t.running[token]
 }
 
+// Nearest returns the request whose upstream was told the deadline nearest to
+// that of a sub-call, or nil if none is within a tolerance.
+func (t *Tokens) Nearest(deadline time.Time, tolerance time.Duration) *Running {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var nearest *Running
+	for _, running := range t.running {
+		if off := running.Told.Sub(deadline).Abs(); off <= tolerance {
+			nearest = running
+			tolerance = off
+		}
+	}
+	return nearest
+}
+
 // End ends a token.
 func (t *Tokens) End(token string) {
 	t.mu.Lock()
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -22,6 +22,7 @@
 	chain       chain.Chain
 	context     context.Context // ends with the request that made the sub-call; nil for a root
 	deadline    time.Time
+	due         time.Time // when the root's answer should be there, zero for unknown
 	fingerprint uint64
 	idempotent  bool
 	maxBody     int64  // bytes; 0 for no bound
@@ -41,6 +42,7 @@
 			Caller:     r.Service,
 			Customer:   p.customer,
 			Importance: p.importance,
+			Route:      p.catalogRoute(),
 			Service:    p.service,
 			Weight:     p.weight,
 		},
@@ -51,6 +53,9 @@
 	if p.inner {
 		c.chain.Depth = 1
 	}
+	if p.objective > 0 {
+		c.due = now.Add(p.objective)
+	}
 	for i := 0; i < len(c.chain.ID); i += 8 {
 		binary.LittleEndian.PutUint64(c.chain.ID[i:], rand.Uint64())
 	}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -23,6 +23,10 @@
 	"github.com/wasabibend/wasabibend/pkg/refuse"
 )
 
+// answerMargin is kept of the time that an upstream is given, so that its last
+// answer reaches the caller in time.
+const answerMargin = 5 * time.Millisecond
+
 // Times around crashes.
 const (
 	// probeTime bounds the probe of an upstream that may have crashed.
@@ -48,7 +52,7 @@
 	w.Header()[chain.HeaderAnswer] = []string{answerID(c)}
 	p, refusal := r.enter(req.Context(), now, c)
 	if refusal != nil {
-		r.answerRefusal(w, c.Retries, refusal)
+		r.answerRefusal(w, c, c.Retries, refusal)
 		return
 	}
 	request, u := r.incoming(w, req, p.cancel)
@@ -59,22 +63,35 @@
 	a, left, refusal := p.call(request)
 	beat.stop()
 	if refusal != nil {
-		r.answerRefusal(w, left, refusal)
+		r.answerRefusal(w, c, left, refusal)
 		return
 	}
 	w.Header()[chain.HeaderLeft] = []string{strconv.Itoa(left)}
-	w.Header()[chain.HeaderLoad] = []string{formatLoad(r.Gate.Load())}
+	w.Header()[chain.HeaderLoad] = []string{formatLoad(r.load(time.Now(), c.Route))}
 	r.stream(w, a)
 }
 
 // answerRefusal answers a call of another node by a refusal.
-func (r *Relay) answerRefusal(w http.ResponseWriter, left int, refusal *refuse.Refusal) {
+func (r *Relay) answerRefusal(w http.ResponseWriter, c *chain.Chain, left int, refusal *refuse.Refusal) {
 	w.Header()[chain.HeaderLeft] = []string{strconv.Itoa(left)}
-	w.Header()[chain.HeaderLoad] = []string{formatLoad(r.Gate.Load())}
+	w.Header()[chain.HeaderLoad] = []string{formatLoad(r.load(time.Now(), c.Route))}
 	r.Stats.Refusals.Add("Gate"+string(refusal.Cause), 1)
 	refusal.WriteTo(w)
 }
 
+// load returns the load of the upstream beside the node, as requests of a route
+// see it: with the waits at what they call.
+func (r *Relay) load(now time.Time, route string) gates.Load {
+	load := r.Gate.Load(now)
+	if route == "" {
+		return load
+	}
+	for _, callee := range r.fanout.Callees(route) {
+		load.Wait = max(load.Wait, r.admission.Wait(now, callee))
+	}
+	return load
+}
+
 // incoming returns the request to send to the upstream, and its body if there
 // is one.
 func (r *Relay) incoming(w http.ResponseWriter, req *http.Request, cancel context.CancelCauseFunc) (*http.Request, *upload) {
@@ -124,6 +141,9 @@
 		return nil, refuse.New(refuse.Quarantined, wait, "the request crashed the upstreams that ran it")
 	}
 	ticket := &gates.Ticket{Customer: c.Customer, Deadline: deadline, Depth: c.Depth, Importance: c.Importance, Weight: c.Weight}
+	if c.Objective {
+		ticket.Due = now.Add(c.Due)
+	}
 	if refusal := r.Gate.Enter(ctx, now, ticket); refusal != nil {
 		return nil, refusal
 	}
@@ -134,7 +154,10 @@
 	p := &placement{address: address, deadline: deadline, instance: instance, relay: r, ticket: ticket}
 	ctx, p.cancel = context.WithCancelCause(ctx)
 	p.ctx, p.span = r.Tracer.Start(spans.Context(ctx, c), "upstream")
-	p.running = &chain.Running{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: p.ctx, Deadline: deadline}
+	p.running = &chain.Running{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: p.ctx, Deadline: deadline, Due: ticket.Due, Told: deadline.Add(-answerMargin)}
+	if c.Route != "" {
+		r.fanout.Run(c.Route)
+	}
 	if p.span.IsRecording() {
 		p.running.Span = chain.SpanID(p.span.SpanContext().SpanID())
 	}
@@ -185,7 +208,7 @@
 		Caller:    c.Caller,
 		Customer:  c.Customer,
 		Instance:  p.instance,
-		Remaining: p.deadline.Sub(time.Now()),
+		Remaining: p.running.Told.Sub(time.Now()),
 		Token:     p.token,
 	})
 }
--- a/internal/request/relay/policy.go
+++ b/internal/request/relay/policy.go
@@ -33,6 +33,14 @@
 	weight     float64
 }
 
+// catalogRoute returns the name of the catalog's route, empty for the table's.
+func (p *policy) catalogRoute() string {
+	if p.objective > 0 {
+		return p.route
+	}
+	return ""
+}
+
 // identify finds the customer of a request and how it is treated. A policy that
 // comes with a refusal has at most a customer.
 func (r *Relay) identify(now time.Time, req *http.Request, terms Terms) (policy, *refuse.Refusal) {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -15,7 +15,9 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
+	"github.com/wasabibend/wasabibend/internal/process/admit"
 	"github.com/wasabibend/wasabibend/internal/process/crash"
+	"github.com/wasabibend/wasabibend/internal/process/fanout"
 	"github.com/wasabibend/wasabibend/internal/process/gates"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/quota"
@@ -108,14 +110,16 @@
 // Relay carries requests. Lock order: the locks of its parts are leaves.
 type Relay struct {
 	Options
-	balance  *Balance
-	calls    atomic.Uint64
-	inFlight atomic.Int64
-	leaving  atomic.Bool
-	proofs   sync.Map // from netip.AddrPort to string
-	ratios   *chain.Ratios
-	shares   *shares
-	tokens   *chain.Tokens
+	admission *admit.Limits
+	balance   *Balance
+	calls     atomic.Uint64
+	fanout    *fanout.Table
+	inFlight  atomic.Int64
+	leaving   atomic.Bool
+	proofs    sync.Map // from netip.AddrPort to string
+	ratios    *chain.Ratios
+	shares    *shares
+	tokens    *chain.Tokens
 }
 
 // New returns a Relay.
@@ -124,11 +128,13 @@
 		options.Dialect = native{}
 	}
 	r := &Relay{
-		Options: options,
-		balance: NewBalance(options.Self, options.Zone),
-		ratios:  chain.NewRatios(),
-		shares:  newShares(),
-		tokens:  chain.NewTokens(),
+		Options:   options,
+		admission: admit.New(),
+		balance:   NewBalance(options.Self, options.Zone),
+		fanout:    fanout.NewTable(),
+		ratios:    chain.NewRatios(),
+		shares:    newShares(),
+		tokens:    chain.NewTokens(),
 	}
 	r.calls.Store(rand.Uint64())
 	return r
@@ -188,9 +194,23 @@
 			return
 		}
 	}
+	if !p.inner && r.Catalog != nil {
+		after, ok := r.admission.Enter(now, admit.Request{Importance: p.importance, Objective: p.objective, Route: p.route})
+		if !ok {
+			r.refuse(w, p.customer, refuse.New(refuse.Overloaded, after, "the route leads to a service without room"))
+			return
+		}
+		defer func() { r.admission.Leave(time.Now(), p.route) }()
+	}
 	r.Stats.Admitted.Add(p.customer, 1)
-	r.ratios.First(p.service)
 	c := r.rootCall(now, &p, terms)
+	if p.inner {
+		r.adopt(now.Add(terms.Patience), c)
+	}
+	r.ratios.First(p.service)
+	if c.chain.Repeat {
+		r.ratios.Repeat(p.service)
+	}
 	if key := req.Header.Get(headerIdempotency); key != "" && !c.idempotent && p.customer != "" && r.Catalog == nil {
 		release, refusal := r.Claimer.Claim(req.Context(), p.customer, key)
 		if refusal != nil {
@@ -203,6 +223,29 @@
 	r.Stats.Observe(p.route, p.customer, time.Since(now))
 }
 
+// parentTolerance is the difference between the deadlines of a sub-call and of
+// the request that made it, which both are in whole milliseconds on their way.
+const parentTolerance = 4 * time.Millisecond
+
+// adopt finds the request that made a sub-call by its deadline, which the
+// upstream passes on, and gives the sub-call its place in the chain.
+func (r *Relay) adopt(deadline time.Time, c *call) {
+	parent := r.tokens.Nearest(deadline, parentTolerance)
+	if parent == nil {
+		r.Stats.Calls.Add("Orphan", 1)
+		return
+	}
+	r.fanout.Call(parent.Chain.Route, c.chain.Route)
+	c.chain.Depth = min(parent.Chain.Depth+1, chain.MaxDepth)
+	c.chain.ID = parent.Chain.ID
+	c.chain.Importance = parent.Chain.Importance
+	c.chain.Parent = parent.Span
+	c.chain.Repeat = parent.Chain.Repeat
+	if !parent.Due.IsZero() {
+		c.due = parent.Due
+	}
+}
+
 // ServeUpstream serves a sub-call of the upstream beside the node.
 func (r *Relay) ServeUpstream(w http.ResponseWriter, req *http.Request) {
 	now := time.Now()
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -15,6 +15,7 @@
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
 	"github.com/wasabibend/wasabibend/internal/process/crash"
+	"github.com/wasabibend/wasabibend/internal/process/gates"
 	"github.com/wasabibend/wasabibend/internal/process/spans"
 	"github.com/wasabibend/wasabibend/internal/request/chain"
 	"github.com/wasabibend/wasabibend/pkg/refuse"
@@ -225,6 +226,10 @@
 	c := s.chain
 	c.Call = s.relay.calls.Add(1)
 	c.Remaining = s.deadline.Sub(now)
+	c.Repeat = c.Repeat || s.retried
+	if c.Objective = !s.due.IsZero(); c.Objective {
+		c.Due = s.due.Sub(now)
+	}
 	c.Retries = part
 	c.Suspect = s.suspect
 	s.relay.balance.Begin(now, node)
@@ -256,10 +261,19 @@
 		return nil, c.Retries, refusal
 	}
 	a, left, refusal := p.call(s.outgoing(""))
-	s.relay.balance.Observe(time.Now(), s.relay.Self, s.relay.Gate.Load())
+	now = time.Now()
+	s.observe(now, s.relay.Self, s.relay.load(now, c.Route))
 	return a, left, refusal
 }
 
+// observe takes in the load of a node that answered.
+func (s *session) observe(now time.Time, node netip.AddrPort, load gates.Load) {
+	s.relay.balance.Observe(now, node, load)
+	if s.chain.Route != "" {
+		s.relay.admission.Observe(now, s.chain.Route, load.Wait)
+	}
+}
+
 // sendPeer sends the call to the gate of another node.
 func (s *session) sendPeer(node netip.AddrPort, c *chain.Chain) (*answer, int, *refuse.Refusal) {
 	encoded, err := c.Encode()
@@ -286,7 +300,7 @@
 		return nil, 0, refuse.Uncertain(refuse.BadAnswer, "the answer is for another call")
 	}
 	if load, ok := parseLoad(response.Header.Get(chain.HeaderLoad)); ok {
-		s.relay.balance.Observe(time.Now(), node, load)
+		s.observe(time.Now(), node, load)
 	}
 	left, _ := strconv.Atoi(response.Header.Get(chain.HeaderLeft))
 	if refusal := refuse.Parse(response.Header); refusal != nil {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/wasabibend/wasabibend/internal/process/gates"
 )
@@ -97,12 +98,24 @@
 	return err
 }
 
+// formatLoad returns the form of a load in a header: the requests in flight, the
+// limit, those that wait, and the wait in milliseconds.
 func formatLoad(load gates.Load) string {
-	return strconv.Itoa(load.InFlight) + "," + strconv.Itoa(load.Limit) + "," + strconv.Itoa(load.Waiting)
+	b := make([]byte, 0, loadBytes)
+	for i, n := range [...]int64{int64(load.InFlight), int64(load.Limit), int64(load.Waiting), load.Wait.Milliseconds()} {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendInt(b, n, 10)
+	}
+	return string(b)
 }
 
+// loadBytes is the usual length of a load's form.
+const loadBytes = 24
+
 func parseLoad(text string) (gates.Load, bool) {
-	var numbers [3]int
+	var numbers [4]int
 	for i := range numbers {
 		part, rest, _ := strings.Cut(text, ",")
 		n, err := strconv.Atoi(part)
@@ -112,5 +125,5 @@
 		numbers[i] = n
 		text = rest
 	}
-	return gates.Load{InFlight: numbers[0], Limit: numbers[1], Waiting: numbers[2]}, true
+	return gates.Load{InFlight: numbers[0], Limit: numbers[1], Wait: time.Duration(numbers[3]) * time.Millisecond, Waiting: numbers[2]}, true
 }
