Pass waits up by all that an upstream calls

Change: the wait that an answer carries is the longest of the gate and of all routes that the upstream has called in the last ten seconds. The table that learnt calls a run, and the search for parents, are gone. The most important may wait for 120 ms, each rank below 0.4 times that.

--- a/internal/cmdln/nodecmd.go
+++ b/internal/cmdln/nodecmd.go
@@ -6,7 +6,9 @@
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
+	"github.com/wasabibend/wasabibend/internal/process/logs"
 	"github.com/wasabibend/wasabibend/internal/process/node"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
 	"github.com/wasabibend/wasabibend/platform"
@@ -25,10 +27,17 @@
 	}
 	runtime.GOMAXPROCS(settings.Procs)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(c.err).With().Timestamp().Logger()
+	log, closer := logs.New(c.out, nil)
+	defer closer.Close()
 	n, err := node.New(settings, Version, log, objs.New(settings.Platform), platform.Options(settings)...)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	watchCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var watch conc.WaitGroup
+	defer watch.Wait()
+	defer cancel()
+	watch.Go(func() { watchSettings(watchCtx, *file, log, n.Reload) })
 	return trace.Wrap(n.Run(ctx))
 }
--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -35,8 +35,8 @@
 // Waits that requests of the most important route, and of those ranked below,
 // may bring about: the less important, the sooner they are refused.
 const (
-	waitMost  = 80 * time.Millisecond
-	waitRatio = 0.5 // from one rank to the next
+	waitMost  = 120 * time.Millisecond
+	waitRatio = 0.4 // from one rank to the next
 	waitLeast = 10 * time.Millisecond
 )
 
@@ -113,6 +113,22 @@
 	return lim.wait.Lately(now)
 }
 
+// State is what decides on a route's requests.
+type State struct {
+	InFlight int
+	// Limit is infinite while nothing is held back.
+	Limit float64
+	Wait  time.Duration
+}
+
+// State returns what decides on a route's requests.
+func (l *Limits) State(now time.Time, route string) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim := l.limit(now, route)
+	return State{InFlight: lim.inFlight, Limit: lim.most, Wait: lim.wait.Lately(now)}
+}
+
 func (l *Limits) limit(now time.Time, route string) *limit {
 	lim := l.routes[route]
 	if lim == nil {
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -77,7 +77,7 @@
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(backoff*2, backoffMost)
 		if !n.agent.Watches(f.watchers) && !n.agent.Isolated(time.Now()) {
-			zone := len(n.table.View().Zone(n.settings.Zone, 1<<30))
+			zone := len(n.table.View().Zone(n.settings.Load().Zone, 1<<30))
 			sleep(ctx, rand.N(2*max(staleAfter, time.Duration(zone)*perNode)))
 		}
 	}
@@ -131,7 +131,7 @@
 // has it, the first node keeps a random one in the platform's store.
 func (n *Node) obtainSecret(ctx context.Context) {
 	backoff := backoffLeast
-	for ctx.Err() == nil && !n.settings.Secret.Known() {
+	for ctx.Err() == nil && !n.settings.Load().Secret.Known() {
 		err := n.readSecret(ctx)
 		n.noteStore(err)
 		if err == nil {
@@ -162,5 +162,5 @@
 	if err := kinds.Decode(object.Value, &secret); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(n.settings.Secret.Set(secret.Text))
+	return trace.Wrap(n.settings.Load().Secret.Set(secret.Text))
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/wasabibend/wasabibend/internal/process/claims"
 	"github.com/wasabibend/wasabibend/internal/process/crash"
 	"github.com/wasabibend/wasabibend/internal/process/gates"
+	"github.com/wasabibend/wasabibend/internal/process/logs"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/quota"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
@@ -38,7 +39,6 @@
 	drainPoll     = 20 * time.Millisecond
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	lameDuck      = 2 * time.Second
 	pruneInterval = time.Minute
 	// retryBoundsPoll is how often the retries are divided among the nodes anew.
 	retryBoundsPoll = time.Second
@@ -57,13 +57,15 @@
 	ctx      context.Context // ends all work of the node
 	dialect  relay.Dialect   // nil for the product's own
 	feeds    []feed
+	leaving  atomic.Bool
 	gate     *gates.Gate
 	log      zerolog.Logger
 	mesh     *links.Mesh
+	notes    *relay.Notes
 	pool     *pool.Pool
 	quota    *quota.Client
 	relay    *relay.Relay
-	settings *setup.Settings
+	settings atomic.Pointer[setup.Settings]
 	shutdown func(context.Context) error
 	stats    *stats.Stats
 	store    store.Store
@@ -127,13 +129,13 @@
 		log:      log,
 		mesh:     links.NewMesh(ctx, settings.Peers, settings.Secret),
 		pool:     pool.New(),
-		settings: settings,
 		shutdown: shutdown,
 		stats:    stats.New(),
 		store:    platform,
 		table:    member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
 		version:  version,
 	}
+	n.settings.Store(settings)
 	for _, option := range options {
 		option(n)
 	}
@@ -171,6 +173,7 @@
 		Zone:     settings.Zone,
 		Zones:    settings.Zones,
 	})
+	n.notes = relay.NewNotes(log)
 	n.relay = relay.New(relay.Options{
 		Admitter:  n.quota,
 		Catalog:   n.catalog,
@@ -183,6 +186,7 @@
 		Idle:      settings.Idle,
 		InFlight:  settings.InFlight,
 		Local:     n.upstream,
+		Notes:     n.notes,
 		Pool:      n.pool,
 		Secret:    settings.Secret,
 		Self:      settings.Peers,
@@ -214,18 +218,18 @@
 // Ready reports whether the node takes requests: it knows its configuration and
 // does not leave.
 func (n *Node) Ready() bool {
-	if n.relay.Leaving() {
+	if n.leaving.Load() {
 		return false
 	}
 	if n.catalog != nil {
-		return n.catalog.Snapshot().CatalogVersion() > 0 && n.settings.Secret.Known()
+		return n.catalog.Snapshot().CatalogVersion() > 0 && n.settings.Load().Secret.Known()
 	}
 	return n.config.Snapshot().Revision() > 0
 }
 
 // Settings returns the node's settings, which must not be changed.
 func (n *Node) Settings() *setup.Settings {
-	return n.settings
+	return n.settings.Load()
 }
 
 // Run serves until a context ends, then finishes what is in flight and ends all
@@ -240,10 +244,10 @@
 	for _, s := range servers {
 		workers.Go(s.serve)
 	}
-	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.prune, n.quota.Run, n.seed, n.watchUpstream} {
+	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.prune, n.quota.Run, n.reportNotes, n.seed, n.watchUpstream} {
 		workers.Go(func() { loop(n.ctx) })
 	}
-	n.log.Info().Stringer("Callers", n.settings.Callers).Stringer("Peers", n.settings.Peers).Msg("node serves")
+	n.log.Info().Stringer("Callers", n.settings.Load().Callers).Stringer("Peers", n.settings.Load().Peers).Msg("node serves")
 	<-stop.Done()
 	n.drain(n.ctx, servers)
 	n.cancel()
@@ -259,32 +263,40 @@
 	return trace.Wrap(n.shutdown(flushCtx))
 }
 
-// drain lets the others know that the node leaves, goes on serving its callers
-// for a while, and then waits for all requests in flight.
+// drain ends the node's work without cutting any. It goes on serving all while
+// callers learn that it leaves, then lets the others know that the upstream
+// beside it takes nothing more, and waits for the requests in flight, which the
+// upstream's own calls are part of.
 func (n *Node) drain(ctx context.Context, servers []*server) {
-	n.log.Info().Msg("node leaves")
-	n.quota.Leave(ctx)
+	n.log.Info().Dur("Within", n.settings.Load().Drain).Msg("node leaves")
+	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Load().Drain)
+	defer cancel()
+	n.leaving.Store(true)
 	n.relay.Leave()
+	n.quota.Leave(ctx)
+	sleep(drainCtx, n.settings.Load().LameDuck/2)
+	n.relay.Close()
 	if r, changed := n.table.SetSelf(time.Now(), n.table.Self().Service, member.Draining); changed {
 		n.agent.Spread(ctx, []member.Record{r})
 	}
-	limit := time.Now().Add(n.settings.Drain)
-	sleep(ctx, lameDuck)
-	drainCtx, cancel := context.WithDeadline(ctx, limit)
-	defer cancel()
+	sleep(drainCtx, n.settings.Load().LameDuck/2)
+	for n.relay.InFlight() > 0 && sleep(drainCtx, drainPoll) {
+	}
 	for _, s := range servers {
 		if s.drains {
 			if err := s.http.Shutdown(drainCtx); err != nil {
-				n.log.Warn().Err(err).Msg("requests were still in flight at the end of the drain time")
+				n.log.Warn().Err(err).Int("InFlight", n.relay.InFlight()).Msg("requests were still in flight at the end of the drain time")
 			}
 		}
 	}
-	for n.relay.InFlight() > 0 && drainCtx.Err() == nil {
-		sleep(ctx, drainPoll)
-	}
 	n.agent.Spread(ctx, []member.Record{n.table.Leave(time.Now())})
 }
 
+// reportNotes tells of lines on requests that were left out.
+func (n *Node) reportNotes(ctx context.Context) {
+	logs.Report(ctx, n.log, n.notes.Budgets())
+}
+
 func (n *Node) prune(ctx context.Context) {
 	for sleep(ctx, pruneInterval) {
 		n.relay.Prune(time.Now(), pruneInterval)
@@ -295,8 +307,9 @@
 // the nodes that there are.
 func (n *Node) keepRetryBounds(ctx context.Context) {
 	for {
-		if n.settings.RetrySlack > 0 {
-			n.relay.SetRetryBounds(n.settings.RetryRatio, n.settings.RetrySlack/float64(max(n.table.View().Size(), 1)))
+		if n.settings.Load().RetrySlack > 0 {
+			view := n.table.View()
+			n.relay.SetRetryBounds(n.settings.Load().RetryRatio, n.settings.Load().RetrySlack, view.Size(), len(view.Service(n.table.Self().Service)))
 		}
 		if !sleep(ctx, retryBoundsPoll) {
 			return
@@ -324,11 +337,11 @@
 		drains  bool
 		handler http.Handler
 	}{
-		{n.settings.Admin, false, n.adminHandler()},
-		{n.settings.Callers, true, http.HandlerFunc(n.relay.ServeCaller)},
-		{n.settings.Peers, false, n.peersHandler()},
-		{n.settings.Upstream, false, n.upstreamHandler()},
-		{n.settings.Ready, false, n.adminHandler()},
+		{n.settings.Load().Admin, false, n.adminHandler()},
+		{n.settings.Load().Callers, true, http.HandlerFunc(n.relay.ServeCaller)},
+		{n.settings.Load().Peers, false, n.peersHandler()},
+		{n.settings.Load().Upstream, false, n.upstreamHandler()},
+		{n.settings.Load().Ready, false, n.adminHandler()},
 	}
 	for _, l := range listeners {
 		if !l.address.IsValid() {
@@ -341,7 +354,7 @@
 		}
 		servers = append(servers, &server{
 			drains:   l.drains,
-			http:     &http.Server{ErrorLog: quiet(), Handler: l.handler, IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.HeaderBytes, ReadHeaderTimeout: headerTimeout},
+			http:     &http.Server{ErrorLog: quiet(), Handler: l.handler, IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.Load().HeaderBytes, ReadHeaderTimeout: headerTimeout},
 			listener: listener,
 		})
 	}
--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -35,7 +35,7 @@
 	backoff := backoffLeast
 	for ctx.Err() == nil {
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
-		addresses := append(seedsOf(listing), n.settings.Join...)
+		addresses := append(seedsOf(listing), n.settings.Load().Join...)
 		if n.joinAny(ctx, addresses) {
 			return
 		}
@@ -52,7 +52,7 @@
 func (n *Node) joinAny(ctx context.Context, addresses []netip.AddrPort) bool {
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses {
-		if address == n.settings.Peers {
+		if address == n.settings.Load().Peers {
 			continue
 		}
 		joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
@@ -71,7 +71,7 @@
 	backoff := backoffLeast
 	for range joinTries {
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
-		others := slices.DeleteFunc(seedsOf(listing), func(a netip.AddrPort) bool { return a == n.settings.Peers })
+		others := slices.DeleteFunc(seedsOf(listing), func(a netip.AddrPort) bool { return a == n.settings.Load().Peers })
 		if err == nil && len(others) == 0 || n.joinAny(ctx, others) {
 			return
 		}
@@ -92,7 +92,7 @@
 		if err != nil {
 			continue
 		}
-		n.joinAny(ctx, n.unknown(append(seedsOf(listing), n.settings.Join...)))
+		n.joinAny(ctx, n.unknown(append(seedsOf(listing), n.settings.Load().Join...)))
 		n.keepSeeds(ctx, n.ownSeeds(listing))
 	}
 }
@@ -105,7 +105,7 @@
 		return
 	}
 	alive := n.livingSeeds(seeds.Addresses)
-	for _, r := range n.table.View().Zone(n.settings.Zone, maxSeeds) {
+	for _, r := range n.table.View().Zone(n.settings.Load().Zone, maxSeeds) {
 		if len(alive) < maxSeeds && !slices.Contains(alive, r.Peers) {
 			alive = append(alive, r.Peers)
 		}
@@ -123,10 +123,10 @@
 	if object.Value != nil && kinds.Decode(object.Value, &seeds) != nil {
 		return false
 	}
-	if slices.Contains(seeds.Addresses, n.settings.Peers) {
+	if slices.Contains(seeds.Addresses, n.settings.Load().Peers) {
 		return true
 	}
-	next := append(n.livingSeeds(seeds.Addresses), n.settings.Peers)
+	next := append(n.livingSeeds(seeds.Addresses), n.settings.Load().Peers)
 	slices.SortFunc(next, netip.AddrPort.Compare)
 	return n.putSeeds(ctx, next, object.Version)
 }
@@ -134,12 +134,12 @@
 // putSeeds replaces the seeds of the availability zone and reports whether it
 // is known that it did.
 func (n *Node) putSeeds(ctx context.Context, addresses []netip.AddrPort, version uint64) bool {
-	value, err := kinds.Encode(&kinds.Seeds{Addresses: addresses, Zone: n.settings.Zone})
+	value, err := kinds.Encode(&kinds.Seeds{Addresses: addresses, Zone: n.settings.Load().Zone})
 	if err != nil {
 		n.log.Error().Err(err).Msg("the seeds cannot be encoded")
 		return false
 	}
-	_, err = n.store.Put(ctx, kinds.SeedsKey(n.settings.Zone), value, version)
+	_, err = n.store.Put(ctx, kinds.SeedsKey(n.settings.Load().Zone), value, version)
 	return err == nil
 }
 
@@ -165,7 +165,7 @@
 
 func (n *Node) ownSeeds(listing store.Listing) store.Object {
 	for _, object := range listing.Objects {
-		if object.Key == kinds.SeedsKey(n.settings.Zone) {
+		if object.Key == kinds.SeedsKey(n.settings.Load().Zone) {
 			return object
 		}
 	}
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -177,7 +177,7 @@
 func (n *Node) publishUpstream() {
 	now := time.Now()
 	service, readiness := n.upstream.state(now)
-	if n.relay.Leaving() {
+	if n.relay.Closed() {
 		readiness = member.Draining
 	}
 	r, changed := n.table.SetSelf(now, service, readiness)
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -57,6 +57,9 @@
 	Expiry time.Duration
 	// FirstByte bounds the wait for an upstream's first byte.
 	FirstByte time.Duration
+	// Grace is the time after a request to stop at which the process is killed, 0
+	// for never. Drain and LameDuck are within it.
+	Grace time.Duration
 	// HeaderBytes bounds the size of a request's header.
 	HeaderBytes int
 	// Idle bounds each pause within a body.
@@ -66,6 +69,9 @@
 	// Procs is the number of processors that the node uses at a time.
 	Procs int
 
+	// LameDuck is how long a node that stops goes on serving, so that callers and
+	// other nodes learn of it.
+	LameDuck time.Duration
 	// RetryRatio and RetrySlack bound the retries to a service, by all nodes
 	// together, to a part of its requests and a number.
 	RetryRatio, RetrySlack float64
@@ -119,10 +125,12 @@
 		Drain:       r.duration("Limits", "Drain", 10*time.Minute),
 		Expiry:      r.duration("Limits", "Expiry", 3*time.Second),
 		FirstByte:   r.duration("Limits", "FirstByte", time.Minute),
+		Grace:       r.duration("Limits", "Grace", 0),
 		HeaderBytes: r.number("Limits", "HeaderBytes", 32<<10, 1<<10, 1<<20),
 		Idle:        r.duration("Limits", "Idle", 30*time.Second),
 		InFlight:    r.number("Limits", "InFlight", 10000, 1, 1000000),
 		Join:        r.addresses("Fleet", "Join"),
+		LameDuck:    r.duration("Limits", "LameDuck", 2*time.Second),
 		Peers:       r.address("Listen", "Peers"),
 		Platform:    r.url("Platform", "URL"),
 		Procs:       r.number("Limits", "Procs", 2, 1, 256),
@@ -142,12 +150,31 @@
 	if r.err == nil && !slices.Contains(s.Zones, s.Zone) {
 		r.fail("Node", "Zone", s.Zone, "one of Zones of [Fleet]")
 	}
+	if r.err == nil && s.Dialect == DialectNative && !s.Secret.Known() {
+		r.fail("Fleet", "Secret", "", "a value, but it is missing")
+	}
 	if r.err != nil {
 		return nil, trace.Wrap(r.err)
 	}
+	s.keepGrace()
 	return s, nil
 }
 
+// Parts of the grace that a stop may take.
+const (
+	drainPart    = 0.93
+	lameDuckPart = 0.55
+)
+
+// keepGrace shortens the times of a stop so that it ends within the grace.
+func (s *Settings) keepGrace() {
+	if s.Grace == 0 {
+		return
+	}
+	s.Drain = min(s.Drain, time.Duration(drainPart*float64(s.Grace)))
+	s.LameDuck = min(s.LameDuck, time.Duration(lameDuckPart*float64(s.Grace)))
+}
+
 func (r *reader) fail(section, key, value, want string) {
 	if r.err == nil {
 		r.err = trace.BadParameter("%s: [%s] %s = %q: want %s", r.name, section, key, value, want)
--- a/internal/request/chain/chain.go
+++ b/internal/request/chain/chain.go
@@ -72,6 +72,8 @@
 	Fingerprint crash.Fingerprint
 	// ID is the same for all calls of a chain.
 	ID ID
+	// Idempotent tells that the call may run more than once.
+	Idempotent bool
 	// Importance is that of the root request.
 	Importance int
 	// Objective tells that the answer of the root request has a time to be there.
--- a/internal/request/chain/chain_test.go
+++ b/internal/request/chain/chain_test.go
@@ -56,7 +56,7 @@
 	retries := 0
 	for range 10000 {
 		r.First("ledger")
-		for r.Retry("ledger") {
+		for r.Retry("ledger", 0) {
 			retries++
 		}
 	}
--- a/internal/request/chain/ratio.go
+++ b/internal/request/chain/ratio.go
@@ -39,25 +39,19 @@
 	r.services[service] = min(r.left(service)+r.perCall, r.most)
 }
 
-// Retry uses a retry, or reports false if the node has made too many.
-func (r *Ratios) Retry(service string) bool {
+// Retry uses a retry, or reports false if the node has made too many. It leaves
+// a part of the retries that may add up to others.
+func (r *Ratios) Retry(service string, leave float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	left := min(r.left(service), r.most)
-	if left < 1 {
+	if left < 1+leave*(r.most-1) {
 		return false
 	}
 	r.services[service] = left - 1
 	return true
 }
 
-// Repeat counts a call that a retry brought about, which cannot be held back.
-func (r *Ratios) Repeat(service string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.services[service] = min(r.left(service), r.most) - 1
-}
-
 // left returns the retries left to a service. One that is new may use all.
 func (r *Ratios) left(service string) float64 {
 	if left, ok := r.services[service]; ok {
--- a/internal/request/chain/running.go
+++ b/internal/request/chain/running.go
@@ -14,13 +14,7 @@
 	Chain    Chain
 	Context  context.Context
 	Deadline time.Time
-	// Due is when the answer of the root request should be there, zero for
-	// unknown.
-	Due  time.Time
-	Span SpanID
-	// Told is the deadline that the upstream was told, which it passes on with
-	// its sub-calls.
-	Told time.Time
+	Span     SpanID
 }
 
 // Tokens are the requests that the upstream works on, by the tokens that it
@@ -52,21 +46,6 @@
 	return t.running[token]
 }
 
-// Nearest returns the request whose upstream was told the deadline nearest to
-// that of a sub-call, or nil if none is within a tolerance.
-func (t *Tokens) Nearest(deadline time.Time, tolerance time.Duration) *Running {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var nearest *Running
-	for _, running := range t.running {
-		if off := running.Told.Sub(deadline).Abs(); off <= tolerance {
-			nearest = running
-			tolerance = off
-		}
-	}
-	return nearest
-}
-
 // End ends a token.
 func (t *Tokens) End(token string) {
 	t.mu.Lock()
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -24,6 +24,7 @@
 	deadline    time.Time
 	due         time.Time // when the root's answer should be there, zero for unknown
 	fingerprint uint64
+	id          string // names the request in the logs of its caller
 	idempotent  bool
 	maxBody     int64  // bytes; 0 for no bound
 	release     func() // gives up the claim of the idempotency key; nil without one
--- a/internal/request/relay/dialect.go
+++ b/internal/request/relay/dialect.go
@@ -50,6 +50,9 @@
 type Dialect interface {
 	// Deliver adds to a request's header what the upstream is told of it.
 	Deliver(header http.Header, d Delivery)
+	// ID returns what names a request in the logs of its caller, empty for
+	// unknown.
+	ID(header http.Header) string
 	// Read reads an upstream's answer to a request with a header.
 	Read(request http.Header, response *http.Response) Verdict
 	// Refuse writes a refusal as the whole answer.
@@ -69,6 +72,11 @@
 	header[chain.HeaderToken] = []string{d.Token}
 }
 
+// ID implements Dialect.
+func (native) ID(http.Header) string {
+	return ""
+}
+
 // Read implements Dialect.
 func (native) Read(http.Header, *http.Response) Verdict {
 	return Verdict{}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -21,6 +21,7 @@
 	"github.com/wasabibend/wasabibend/internal/process/spans"
 	"github.com/wasabibend/wasabibend/internal/request/chain"
 	"github.com/wasabibend/wasabibend/pkg/refuse"
+	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
 // answerMargin is kept of the time that an upstream is given, so that its last
@@ -80,13 +81,13 @@
 }
 
 // load returns the load of the upstream beside the node, as requests of a route
-// see it: with the waits at what they call.
+// see it: with the waits at what the upstream calls.
 func (r *Relay) load(now time.Time, route string) gates.Load {
 	load := r.Gate.Load(now)
 	if route == "" {
 		return load
 	}
-	for _, callee := range r.fanout.Callees(route) {
+	for _, callee := range r.callees.all(now) {
 		load.Wait = max(load.Wait, r.admission.Wait(now, callee))
 	}
 	return load
@@ -129,7 +130,7 @@
 
 // enter waits at the gate. After a refusal of nil, call must follow.
 func (r *Relay) enter(ctx context.Context, now time.Time, c *chain.Chain) (*placement, *refuse.Refusal) {
-	if r.leaving.Load() {
+	if r.closed.Load() {
 		return nil, refuse.New(refuse.Draining, graceRetry, "the upstream's node is leaving")
 	}
 	address, instance, ok := r.Local.Upstream(c.Service)
@@ -154,38 +155,39 @@
 	p := &placement{address: address, deadline: deadline, instance: instance, relay: r, ticket: ticket}
 	ctx, p.cancel = context.WithCancelCause(ctx)
 	p.ctx, p.span = r.Tracer.Start(spans.Context(ctx, c), "upstream")
-	p.running = &chain.Running{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: p.ctx, Deadline: deadline, Due: ticket.Due, Told: deadline.Add(-answerMargin)}
-	if c.Route != "" {
-		r.fanout.Run(c.Route)
-	}
+	p.running = &chain.Running{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: p.ctx, Deadline: deadline}
 	if p.span.IsRecording() {
 		p.running.Span = chain.SpanID(p.span.SpanContext().SpanID())
 	}
 	p.token = r.tokens.Grant(p.running)
 	r.Stats.Calls.Add(c.Service, 1)
+	if !c.Repeat {
+		r.repeats.First(c.Service)
+	}
 	return p, nil
 }
 
-// call sends the request to the upstream. It returns the retries that the call
-// did not use.
+// call sends the request to the upstream, and sends it again where that may help
+// and the retries allow it. It returns the retries that the call did not use.
 func (p *placement) call(request *http.Request) (*answer, int, *refuse.Refusal) {
-	p.deliver(request)
 	var verdict Verdict
-	response, err := p.relay.Pool.Do(p.ctx, &pool.Call{
-		Accept: func(response *http.Response) bool {
-			verdict = p.relay.Dialect.Read(request.Header, response)
-			return !verdict.Stray
-		},
-		Deadline: p.deadline,
-		Idle:     p.relay.Idle,
-		Request:  request,
-		Silence:  p.relay.FirstByte,
-		To:       p.address,
-		Unframed: p.relay.Catalog != nil,
-	})
+	var response *http.Response
+	var err error
+	tries := 1
+	for ; ; tries++ {
+		response, verdict, err = p.send(request)
+		if err != nil || !p.mayRepeat(request, response, verdict, tries) {
+			break
+		}
+		p.relay.Stats.Retries.Add("Repeated", 1)
+		if err = discard(response); err != nil {
+			break
+		}
+	}
 	left := p.running.Budget.Close()
 	if err != nil {
 		p.checkCrash(err)
+		p.noteTurnedAway(time.Now(), p.relay.Dialect.ID(request.Header), err.Error(), tries)
 		p.leave(true)
 		return nil, left, p.upstreamFailed(err)
 	}
@@ -193,6 +195,7 @@
 		if err := discard(response); err != nil {
 			p.relay.Stats.Answers.Add("Cut", 1)
 		}
+		p.noteTurnedAway(time.Now(), p.relay.Dialect.ID(request.Header), string(refusal.Cause), tries)
 		p.leave(true)
 		return nil, left, refusal
 	}
@@ -201,6 +204,66 @@
 	return &answer{finish: func(whole bool) { p.leave(failed || !whole) }, response: response}, left, nil
 }
 
+// send sends the request to the upstream once.
+func (p *placement) send(request *http.Request) (*http.Response, Verdict, error) {
+	var verdict Verdict
+	p.deliver(request)
+	response, err := p.relay.Pool.Do(p.ctx, &pool.Call{
+		Accept: func(response *http.Response) bool {
+			verdict = p.relay.Dialect.Read(request.Header, response)
+			return !verdict.Stray
+		},
+		Deadline: p.deadline,
+		Idle:     p.relay.Idle,
+		Request:  request,
+		Silence:  p.relay.FirstByte,
+		To:       p.address,
+		Unframed: p.relay.Catalog != nil,
+	})
+	return response, verdict, err
+}
+
+// maxRepeats bounds the times that one request is sent to the upstream: of half
+// of the requests turned away, less than one in a hundred is left.
+const maxRepeats = 7
+
+// mayRepeat reports whether a request that was turned away, or failed without
+// calls of its own, is sent to the upstream again. The gate lets in no more
+// requests than the upstream has slots, so one that turns requests away has room
+// for them all the same.
+func (p *placement) mayRepeat(request *http.Request, response *http.Response, verdict Verdict, tries int) bool {
+	c := &p.running.Chain
+	shed := verdict.NotRun && !verdict.Moved
+	failed := response.StatusCode == http.StatusInternalServerError && c.Idempotent && c.Route != "" && len(p.relay.callees.all(time.Now())) == 0
+	if !shed && !failed || request.Body != nil || tries >= maxRepeats || p.ctx.Err() != nil {
+		return false
+	}
+	return p.relay.repeats.Retry(c.Service, repeatsLeft(c))
+}
+
+// Parts of the retries that less valuable requests leave to others. A root
+// request is done with one success; a call within a chain is one of several that
+// its root needs.
+const (
+	leftByDeep = 0.25
+	leftByRest = 0.6
+)
+
+// mostUrgent is the least importance of requests that do not leave retries to
+// more important ones.
+const mostUrgent = rows.MaxImportance - 1
+
+// repeatsLeft returns the part of the retries that a call leaves to others.
+func repeatsLeft(c *chain.Chain) float64 {
+	switch {
+	case c.Importance < mostUrgent:
+		return leftByRest
+	case c.Depth > 0:
+		return leftByDeep
+	}
+	return 0
+}
+
 // deliver completes the header of a request to the upstream.
 func (p *placement) deliver(request *http.Request) {
 	c := &p.running.Chain
@@ -208,7 +271,7 @@
 		Caller:    c.Caller,
 		Customer:  c.Customer,
 		Instance:  p.instance,
-		Remaining: p.running.Told.Sub(time.Now()),
+		Remaining: p.deadline.Sub(time.Now()) - answerMargin,
 		Token:     p.token,
 	})
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
 	"github.com/wasabibend/wasabibend/internal/process/admit"
 	"github.com/wasabibend/wasabibend/internal/process/crash"
-	"github.com/wasabibend/wasabibend/internal/process/fanout"
 	"github.com/wasabibend/wasabibend/internal/process/gates"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/quota"
@@ -95,9 +95,11 @@
 	Idle      time.Duration
 	InFlight  int
 	Local     Local
-	Pool      *pool.Pool
-	Secret    *fleet.Secret
-	Self      netip.AddrPort
+	// Notes log decisions on requests; nil for none.
+	Notes  *Notes
+	Pool   *pool.Pool
+	Secret *fleet.Secret
+	Self   netip.AddrPort
 	// Service is the service of the upstream beside the node, where it is known
 	// beforehand.
 	Service string
@@ -113,11 +115,13 @@
 	admission *admit.Limits
 	balance   *Balance
 	calls     atomic.Uint64
-	fanout    *fanout.Table
+	callees   *callees
 	inFlight  atomic.Int64
+	closed    atomic.Bool
 	leaving   atomic.Bool
 	proofs    sync.Map // from netip.AddrPort to string
 	ratios    *chain.Ratios
+	repeats   *chain.Ratios // of calls to the upstream beside the node
 	shares    *shares
 	tokens    *chain.Tokens
 }
@@ -127,12 +131,16 @@
 	if options.Dialect == nil {
 		options.Dialect = native{}
 	}
+	if options.Notes == nil {
+		options.Notes = NewNotes(zerolog.Nop())
+	}
 	r := &Relay{
 		Options:   options,
 		admission: admit.New(),
 		balance:   NewBalance(options.Self, options.Zone),
-		fanout:    fanout.NewTable(),
+		callees:   newCallees(),
 		ratios:    chain.NewRatios(),
+		repeats:   chain.NewRatios(),
 		shares:    newShares(),
 		tokens:    chain.NewTokens(),
 	}
@@ -140,8 +148,7 @@
 	return r
 }
 
-// Leave makes the relay refuse new requests for the upstream beside the node.
-// Requests of callers, and sub-calls of requests in flight, go on to others.
+// Leave makes the relay ask callers to use other connections.
 func (r *Relay) Leave() {
 	r.leaving.Store(true)
 }
@@ -151,15 +158,36 @@
 	return r.leaving.Load()
 }
 
+// Close makes the relay refuse new requests for the upstream beside the node.
+// Requests of callers, and sub-calls of requests in flight, go on to others.
+func (r *Relay) Close() {
+	r.closed.Store(true)
+}
+
+// Closed reports whether Close was called.
+func (r *Relay) Closed() bool {
+	return r.closed.Load()
+}
+
 // Prune forgets nodes that were not called for a time.
 func (r *Relay) Prune(now time.Time, idle time.Duration) {
 	r.balance.Prune(now, idle)
 }
 
-// SetRetryBounds sets the part of a service's requests that this node may send
-// again, and the number up to which such retries may add up.
-func (r *Relay) SetRetryBounds(ratio, most float64) {
-	r.ratios.SetBounds(ratio, most)
+// Parts of the retries to a service that are made at its upstreams, where a
+// request that was turned away has cost least, and by the nodes that call them.
+// What is left over covers calls that retries bring about.
+const (
+	repeatPart = 0.6
+	retryPart  = 0.15
+)
+
+// SetRetryBounds divides the retries that all nodes may make together: a part of
+// a service's requests, and a number, among a number of nodes and of upstreams
+// of the service beside this one.
+func (r *Relay) SetRetryBounds(ratio, slack float64, nodes, upstreams int) {
+	r.ratios.SetBounds(ratio*retryPart, max(slack*retryPart/float64(max(nodes, 1)), 1))
+	r.repeats.SetBounds(ratio*repeatPart, max(slack*repeatPart/float64(max(upstreams, 1)), 1))
 }
 
 // InFlight returns the number of requests that the relay holds.
@@ -178,72 +206,54 @@
 	if r.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	id := r.Dialect.ID(req.Header)
 	terms, refusal := r.Dialect.Terms(req)
 	if refusal != nil {
-		r.refuse(w, "", refusal)
+		r.turnAway(w, id, &policy{}, refusal)
 		return
 	}
 	p, refusal := r.identify(now, req, terms)
 	if refusal != nil {
-		r.refuse(w, p.customer, refusal)
+		r.turnAway(w, id, &p, refusal)
 		return
 	}
 	if p.limit.Rate > 0 {
 		if refusal := r.Admitter.Admit(req.Context(), now, p.rate, p.limit); refusal != nil {
-			r.refuse(w, p.customer, refusal)
+			r.turnAway(w, id, &p, refusal)
 			return
 		}
 	}
 	if !p.inner && r.Catalog != nil {
 		after, ok := r.admission.Enter(now, admit.Request{Importance: p.importance, Objective: p.objective, Route: p.route})
 		if !ok {
-			r.refuse(w, p.customer, refuse.New(refuse.Overloaded, after, "the route leads to a service without room"))
+			r.turnAway(w, id, &p, refuse.New(refuse.Overloaded, after, "the route leads to a service without room"))
 			return
 		}
 		defer func() { r.admission.Leave(time.Now(), p.route) }()
 	}
 	r.Stats.Admitted.Add(p.customer, 1)
 	c := r.rootCall(now, &p, terms)
+	c.id = id
 	if p.inner {
-		r.adopt(now.Add(terms.Patience), c)
+		r.callees.note(now, p.route)
 	}
 	r.ratios.First(p.service)
-	if c.chain.Repeat {
-		r.ratios.Repeat(p.service)
-	}
 	if key := req.Header.Get(headerIdempotency); key != "" && !c.idempotent && p.customer != "" && r.Catalog == nil {
 		release, refusal := r.Claimer.Claim(req.Context(), p.customer, key)
 		if refusal != nil {
-			r.refuse(w, p.customer, refusal)
+			r.turnAway(w, id, &p, refusal)
 			return
 		}
 		c.release = release
 	}
-	r.serve(w, req, c)
-	r.Stats.Observe(p.route, p.customer, time.Since(now))
-}
-
-// parentTolerance is the difference between the deadlines of a sub-call and of
-// the request that made it, which both are in whole milliseconds on their way.
-const parentTolerance = 4 * time.Millisecond
-
-// adopt finds the request that made a sub-call by its deadline, which the
-// upstream passes on, and gives the sub-call its place in the chain.
-func (r *Relay) adopt(deadline time.Time, c *call) {
-	parent := r.tokens.Nearest(deadline, parentTolerance)
-	if parent == nil {
-		r.Stats.Calls.Add("Orphan", 1)
+	refusal, status := r.serve(w, req, c)
+	took := time.Since(now)
+	r.Stats.Observe(p.route, p.customer, took)
+	if refusal != nil {
+		r.noteRefused(now.Add(took), id, &p, refusal)
 		return
 	}
-	r.fanout.Call(parent.Chain.Route, c.chain.Route)
-	c.chain.Depth = min(parent.Chain.Depth+1, chain.MaxDepth)
-	c.chain.ID = parent.Chain.ID
-	c.chain.Importance = parent.Chain.Importance
-	c.chain.Parent = parent.Span
-	c.chain.Repeat = parent.Chain.Repeat
-	if !parent.Due.IsZero() {
-		c.due = parent.Due
-	}
+	r.noteServed(now.Add(took), id, &p, c, status, took)
 }
 
 // ServeUpstream serves a sub-call of the upstream beside the node.
@@ -262,7 +272,7 @@
 		return
 	}
 	r.ratios.First(call.chain.Service)
-	if !r.serve(w, req, call) {
+	if refusal, status := r.serve(w, req, call); refusal != nil || status >= http.StatusInternalServerError {
 		running.Budget.Fail(call.fingerprint)
 	}
 }
@@ -279,6 +289,12 @@
 	return proof
 }
 
+// turnAway refuses a request of a caller before anything was done for it.
+func (r *Relay) turnAway(w http.ResponseWriter, id string, p *policy, refusal *refuse.Refusal) {
+	r.refuse(w, p.customer, refusal)
+	r.noteRefused(time.Now(), id, p, refusal)
+}
+
 // refuse writes a refusal as the whole answer and counts it.
 func (r *Relay) refuse(w http.ResponseWriter, customer string, refusal *refuse.Refusal) {
 	r.Stats.Refusals.Add(string(refusal.Cause), 1)
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -31,12 +31,14 @@
 	header  http.Header
 	kept    []byte // a small body
 	retried bool   // whether a call that may have run was sent again
-	suspect bool   // whether the call may have crashed an upstream
-	relay   *Relay
-	request *http.Request
-	span    trace.Span
-	upload  *upload // nil without a body
-	writer  http.ResponseWriter
+	// sentBefore tells that the call has reached an upstream.
+	sentBefore bool
+	suspect    bool // whether the call may have crashed an upstream
+	relay      *Relay
+	request    *http.Request
+	span       trace.Span
+	upload     *upload // nil without a body
+	writer     http.ResponseWriter
 }
 
 // answer is the head of an answer. Its body is unread.
@@ -45,9 +47,9 @@
 	response *http.Response
 }
 
-// serve carries a call out and writes its answer. It reports whether the
-// answer was whole and no server error.
-func (r *Relay) serve(w http.ResponseWriter, req *http.Request, c *call) bool {
+// serve carries a call out and writes its answer. It returns the refusal that
+// was the answer, or else the status of the upstream's answer.
+func (r *Relay) serve(w http.ResponseWriter, req *http.Request, c *call) (*refuse.Refusal, int) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	if c.context != nil {
@@ -74,16 +76,18 @@
 	if refusal != nil {
 		return s.refuse(s.explain(refusal))
 	}
-	return r.stream(w, a)
+	status := a.response.StatusCode
+	r.stream(w, a)
+	return nil, status
 }
 
 // refuse answers by a refusal. A claim is given up if nothing ran.
-func (s *session) refuse(refusal *refuse.Refusal) bool {
+func (s *session) refuse(refusal *refuse.Refusal) (*refuse.Refusal, int) {
 	if s.release != nil && refusal.Ran == refuse.NotRun {
 		s.release()
 	}
 	s.relay.refuse(s.writer, s.chain.Customer, refusal)
-	return false
+	return refusal, 0
 }
 
 // prepare takes in the request's header, and its body if it is small.
@@ -154,6 +158,7 @@
 		}
 		if refusal.Ran == refuse.MayHaveRun || refusal.Cause == refuse.Shed {
 			reached++
+			s.sentBefore = true
 		}
 	}
 	if last == nil {
@@ -184,14 +189,14 @@
 		if !s.idempotent || s.retried || refusal.Cause != refuse.UpstreamFailed {
 			return false
 		}
-		if !s.relay.ratios.Retry(s.chain.Service) || !s.budget.Take() {
+		if !s.relay.ratios.Retry(s.chain.Service, 0) || !s.budget.Take() {
 			return false
 		}
 		s.retried = true
 		s.relay.Stats.Retries.Add("Failed", 1)
 		return true
 	case refusal.Cause == refuse.Overloaded, refusal.Cause == refuse.Shed:
-		if !s.relay.ratios.Retry(s.chain.Service) {
+		if !s.relay.ratios.Retry(s.chain.Service, 0) {
 			return false
 		}
 		s.relay.Stats.Retries.Add(string(refusal.Cause), 1)
@@ -225,8 +230,9 @@
 	part := s.budget.Split()
 	c := s.chain
 	c.Call = s.relay.calls.Add(1)
+	c.Idempotent = s.idempotent
 	c.Remaining = s.deadline.Sub(now)
-	c.Repeat = c.Repeat || s.retried
+	c.Repeat = c.Repeat || s.sentBefore
 	if c.Objective = !s.due.IsZero(); c.Objective {
 		c.Due = s.due.Sub(now)
 	}
@@ -244,6 +250,7 @@
 	s.budget.Return(min(left, part))
 	if refusal != nil {
 		s.relay.balance.End(node)
+		s.noteAttempt(time.Now(), node, &c, refusal)
 		return nil, refusal
 	}
 	finish := a.finish
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -21,9 +21,8 @@
 }}
 
 // stream writes an answer to the other side. An answer that is cut aborts the
-// connection, so that it never looks complete. It reports whether the answer
-// was whole and no server error.
-func (r *Relay) stream(w http.ResponseWriter, a *answer) bool {
+// connection, so that it never looks complete.
+func (r *Relay) stream(w http.ResponseWriter, a *answer) {
 	response := a.response
 	header := w.Header()
 	for name, values := range response.Header {
@@ -54,7 +53,6 @@
 			header[http.TrailerPrefix+name] = values
 		}
 	}
-	return response.StatusCode < http.StatusInternalServerError
 }
 
 // copyBody copies an answer's body. What the upstream sends piece by piece is
