--- /dev/null
+++ b/internal/conn/conns/conns_test.go
@@ -0,0 +1,35 @@
+package conns
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTracker checks which connections are closed, by how many there are.
+func TestTracker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const idle = 10 * time.Second
+	tracker := NewTracker(10)
+	conns := make([]net.Conn, 7)
+	for i := range conns {
+		conns[i], _ = net.Pipe()
+		tracker.Note(now, conns[i], http.StateNew)
+		assert.Equal(t, tracker.Crowded(), i+1 >= 4, "%d open", i+1)
+		if i == 4 {
+			assert.Equal(t, tracker.Reap(now.Add(2*time.Second), idle), 0, "half of the descriptors are not all")
+		}
+	}
+	tracker.Note(now, conns[0], http.StateActive)
+	assert.Equal(t, tracker.Reap(now.Add(2*time.Second), idle), 6, "a full node keeps no idle connection, but the active one")
+	for _, conn := range conns[1:] {
+		tracker.Note(now, conn, http.StateClosed)
+	}
+	assert.Equal(t, tracker.Open(), 1)
+	tracker.Note(now, conns[0], http.StateIdle)
+	assert.Equal(t, tracker.Reap(now.Add(9*time.Second), idle), 0)
+	assert.Equal(t, tracker.Reap(now.Add(10*time.Second), idle), 1)
+}
--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -32,6 +32,16 @@
 	_ = c.Conn.Close()
 }
 
+// reset ends the connection so that nothing of what was sent and not received
+// yet reaches the other side, which it might do seconds later.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection has ended already.
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
+
 // send writes a whole request.
 func (c *conn) send(request *http.Request) error {
 	c.setWhole(false)
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -123,7 +123,7 @@
 // abort ends the exchange and its connection.
 func (e *exchange) abort() {
 	e.stop()
-	e.conn.close()
+	e.conn.reset()
 	e.goAhead.abandon()
 }
 
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -18,7 +18,7 @@
 // Bounds of connections.
 const (
 	bufferSize  = 4 << 10 // bytes
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 	maxIdle     = 64 // connections to one address
 	maxInterim  = 100000
 	maxStray    = 4 // answers to other requests that are passed over
@@ -28,6 +28,9 @@
 	sweepEvery  = time.Second
 )
 
+// keepAlive finds connections that went silent within some seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
 // ErrUnframed means that an answer's end cannot be told from a cut.
 var ErrUnframed = errors.New("the answer has neither a length nor chunks")
 
@@ -99,7 +102,7 @@
 
 // New returns an empty Pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dialer: &net.Dialer{KeepAlive: -1}, idle: make(map[netip.AddrPort][]*conn)}
+	p := &Pool{dialer: &net.Dialer{KeepAliveConfig: keepAlive}, idle: make(map[netip.AddrPort][]*conn)}
 	for _, option := range options {
 		option(p)
 	}
@@ -130,7 +133,7 @@
 		return nil, &SendError{Err: err}
 	}
 	e := &exchange{call: call, conn: c, pool: p}
-	e.stop = context.AfterFunc(ctx, c.close)
+	e.stop = context.AfterFunc(ctx, c.reset)
 	response, err := e.run()
 	if err != nil {
 		e.abort()
--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -23,8 +23,12 @@
 	// fall is the most that a limit falls in one interval. It takes a few
 	// intervals until a change shows, as admitted requests go on.
 	fall = 0.1
-	// growth is the most that a limit grows in one interval.
-	growth = 0.1
+	// growth is the most that a limit grows in one interval, and growthFree where
+	// there is hardly any wait.
+	growth     = 0.1
+	growthFree = 0.25
+	// freePart is the part of the allowed wait that is hardly any.
+	freePart = 0.1
 	// least is the least limit. Single requests find out whether there is room.
 	least = 1
 	// fullPart is the part of a limit in use from which on it may hold requests
@@ -150,7 +154,11 @@
 	case over > 0:
 		lim.most = math.Max(math.Min(lim.most, used)*(1-fall*math.Min(over, 1)), least)
 	case used >= lim.most*fullPart:
-		lim.most += math.Max(lim.most*growth, 1) * math.Min(-over, 1)
+		part := growth
+		if over <= freePart-1 {
+			part = growthFree
+		}
+		lim.most += math.Max(lim.most*part, 1) * math.Min(-over, 1)
 	}
 	lim.adapted = now
 	lim.peak = lim.inFlight
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/wasabibend/wasabibend/internal/conn/conns"
 	"github.com/wasabibend/wasabibend/internal/conn/links"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
 	"github.com/wasabibend/wasabibend/internal/process/claims"
@@ -40,6 +41,7 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	pruneInterval = time.Minute
+	reapInterval  = time.Second
 	// retryBoundsPoll is how often the retries are divided among the nodes anew.
 	retryBoundsPoll = time.Second
 	shutdownExtra   = time.Second
@@ -52,7 +54,8 @@
 	cancel   context.CancelFunc
 	claims   *claims.Client
 	config   *snaps.Holder
-	catalog  *snaps.Holder // nil for a configuration by the table
+	conns    *conns.Tracker // of callers
+	catalog  *snaps.Holder  // nil for a configuration by the table
 	crashes  *crash.Agent
 	ctx      context.Context // ends all work of the node
 	dialect  relay.Dialect   // nil for the product's own
@@ -120,8 +123,13 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	descriptors, err := conns.Descriptors()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
+		conns:    conns.NewTracker(descriptors),
 		cancel:   cancel,
 		config:   snaps.NewHolder(),
 		ctx:      ctx,
@@ -179,6 +187,7 @@
 		Catalog:   n.catalog,
 		Claimer:   n.claims,
 		Config:    n.config,
+		Conns:     n.conns,
 		Crashes:   n.crashes,
 		Dialect:   n.dialect,
 		FirstByte: settings.FirstByte,
@@ -244,7 +253,7 @@
 	for _, s := range servers {
 		workers.Go(s.serve)
 	}
-	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.prune, n.quota.Run, n.reportNotes, n.seed, n.watchUpstream} {
+	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.prune, n.quota.Run, n.reapConns, n.reportNotes, n.seed, n.watchUpstream} {
 		workers.Go(func() { loop(n.ctx) })
 	}
 	n.log.Info().Stringer("Callers", n.settings.Load().Callers).Stringer("Peers", n.settings.Load().Peers).Msg("node serves")
@@ -292,6 +301,19 @@
 	n.agent.Spread(ctx, []member.Record{n.table.Leave(time.Now())})
 }
 
+// reapConns closes callers' connections that are not used.
+func (n *Node) reapConns(ctx context.Context) {
+	for sleep(ctx, reapInterval) {
+		idle := idleTimeout
+		if n.catalog != nil {
+			if limit := n.catalog.Snapshot().Limits().IdleTimeout; limit > 0 {
+				idle = limit
+			}
+		}
+		n.conns.Reap(time.Now(), idle)
+	}
+}
+
 // reportNotes tells of lines on requests that were left out.
 func (n *Node) reportNotes(ctx context.Context) {
 	logs.Report(ctx, n.log, n.notes.Budgets())
@@ -352,11 +374,16 @@
 			errs = append(errs, err)
 			continue
 		}
-		servers = append(servers, &server{
+		s := &server{
 			drains:   l.drains,
 			http:     &http.Server{ErrorLog: quiet(), Handler: l.handler, IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.Load().HeaderBytes, ReadHeaderTimeout: headerTimeout},
 			listener: listener,
-		})
+		}
+		if l.drains {
+			s.http.ConnContext = relay.CallerContext
+			s.http.ConnState = func(conn net.Conn, state http.ConnState) { n.conns.Note(time.Now(), conn, state) }
+		}
+		servers = append(servers, s)
 	}
 	if len(errs) > 0 {
 		for _, s := range servers {
--- a/internal/request/chain/ratio.go
+++ b/internal/request/chain/ratio.go
@@ -1,11 +1,30 @@
 package chain
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Bounds of Ratios until SetBounds is called.
 const (
-	ratioMost    = 10  // retries
-	ratioPerCall = 0.1 // retries earned by a first try
+	ratioPart  = 0.1 // retries to first tries
+	ratioSlack = 10  // retries
+)
+
+// Times of Ratios.
+const (
+	// ratioStep is the length of a bucket of counts.
+	ratioStep = 500 * time.Millisecond
+	// RatioWindow is the time over which retries are bounded.
+	RatioWindow = 10 * time.Second
+)
+
+// Numbers of buckets. The first tries of a window, of the one before it and of
+// the one between them are looked at, and whichever is most counts: after a fall
+// of demand there are retries for what demand was.
+const (
+	windowSteps = int(RatioWindow / ratioStep)
+	keptSteps   = 2*windowSteps + 1
 )
 
 // Ratios bound the retries that a node makes to a small part of its first
@@ -13,49 +32,89 @@
 // Its lock is a leaf.
 type Ratios struct {
 	mu       sync.Mutex
-	most     float64
-	perCall  float64
-	services map[string]float64 // retries left
+	part     float64
+	services map[string]*counts
+	slack    float64
+}
+
+// counts are the tries of a service in steps of time, the latest first.
+type counts struct {
+	firsts, retries [keptSteps]int
+	step            int64 // of the latest
 }
 
 // NewRatios returns Ratios.
 func NewRatios() *Ratios {
-	return &Ratios{most: ratioMost, perCall: ratioPerCall, services: make(map[string]float64)}
+	return &Ratios{part: ratioPart, services: make(map[string]*counts), slack: ratioSlack}
 }
 
-// SetBounds sets the retries that a first try earns, and the number up to which
-// a service's may add up.
-func (r *Ratios) SetBounds(perCall, most float64) {
+// SetBounds sets the part of the first tries that may be retried, and the number
+// of retries beyond.
+func (r *Ratios) SetBounds(part, slack float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.most = most
-	r.perCall = perCall
+	r.part = part
+	r.slack = slack
 }
 
 // First counts a first try.
-func (r *Ratios) First(service string) {
+func (r *Ratios) First(now time.Time, service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.services[service] = min(r.left(service)+r.perCall, r.most)
+	r.counts(now, service).firsts[0]++
 }
 
 // Retry uses a retry, or reports false if the node has made too many. It leaves
-// a part of the retries that may add up to others.
-func (r *Ratios) Retry(service string, leave float64) bool {
+// a part of the retries to others.
+func (r *Ratios) Retry(now time.Time, service string, leave float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	left := min(r.left(service), r.most)
-	if left < 1+leave*(r.most-1) {
+	c := r.counts(now, service)
+	allowed := r.part*float64(c.mostFirsts()) + r.slack
+	// The window may begin within the oldest step.
+	used := sum(c.retries[:windowSteps+1])
+	if float64(used+1) > allowed*(1-leave) {
 		return false
 	}
-	r.services[service] = left - 1
+	c.retries[0]++
 	return true
 }
 
-// left returns the retries left to a service. One that is new may use all.
-func (r *Ratios) left(service string) float64 {
-	if left, ok := r.services[service]; ok {
-		return left
+// counts returns the counts of a service, moved on to now.
+func (r *Ratios) counts(now time.Time, service string) *counts {
+	step := now.UnixNano() / int64(ratioStep)
+	c := r.services[service]
+	if c == nil {
+		c = &counts{step: step}
+		r.services[service] = c
+	}
+	if passed := step - c.step; passed > 0 {
+		c.step = step
+		shift(&c.firsts, passed)
+		shift(&c.retries, passed)
+	}
+	return c
+}
+
+func (c *counts) mostFirsts() int {
+	most := 0
+	for from := 0; from <= windowSteps; from += windowSteps / 2 {
+		most = max(most, sum(c.firsts[from:from+windowSteps]))
+	}
+	return most
+}
+
+// shift makes room for a number of new steps.
+func shift(steps *[keptSteps]int, passed int64) {
+	n := int(min(passed, int64(keptSteps)))
+	copy(steps[n:], steps[:keptSteps-n])
+	clear(steps[:n])
+}
+
+func sum(steps []int) int {
+	total := 0
+	for _, n := range steps {
+		total += n
 	}
-	return r.most
+	return total
 }
--- a/internal/request/relay/balance.go
+++ b/internal/request/relay/balance.go
@@ -180,9 +180,11 @@
 	return float64(inFlight) / float64(limit)
 }
 
+// isEjected reports whether a node is passed over. One that failed and has not
+// answered since gets one call at a time.
 func (b *Balance) isEjected(now time.Time, node netip.AddrPort) bool {
 	s := b.nodes[node]
-	return s != nil && now.Before(s.ejectedUntil)
+	return s != nil && (now.Before(s.ejectedUntil) || s.failures > 0 && s.inFlight > 0)
 }
 
 func (b *Balance) node(node netip.AddrPort) *seen {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -21,7 +21,6 @@
 	"github.com/wasabibend/wasabibend/internal/process/spans"
 	"github.com/wasabibend/wasabibend/internal/request/chain"
 	"github.com/wasabibend/wasabibend/pkg/refuse"
-	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
 // answerMargin is kept of the time that an upstream is given, so that its last
@@ -81,12 +80,14 @@
 }
 
 // load returns the load of the upstream beside the node, as requests of a route
-// see it: with the waits at what the upstream calls.
+// see it: with what was turned away, and with the waits at what the upstream
+// calls.
 func (r *Relay) load(now time.Time, route string) gates.Load {
 	load := r.Gate.Load(now)
 	if route == "" {
 		return load
 	}
+	load.Wait = max(load.Wait, r.shortage.lately(now))
 	for _, callee := range r.callees.all(now) {
 		load.Wait = max(load.Wait, r.admission.Wait(now, callee))
 	}
@@ -148,6 +149,10 @@
 	if refusal := r.Gate.Enter(ctx, now, ticket); refusal != nil {
 		return nil, refusal
 	}
+	if ctx.Err() != nil {
+		r.Gate.Abandon(time.Now(), ticket)
+		return nil, refuse.New(refuse.DeadlineExceeded, 0, "the caller left before the request ran")
+	}
 	if !r.Crashes.Begin(now, c.Fingerprint, c.Suspect) {
 		r.Gate.Abandon(time.Now(), ticket)
 		return nil, refuse.New(refuse.Overloaded, suspectRetry, "another request that may crash the upstream runs there")
@@ -162,7 +167,7 @@
 	p.token = r.tokens.Grant(p.running)
 	r.Stats.Calls.Add(c.Service, 1)
 	if !c.Repeat {
-		r.repeats.First(c.Service)
+		r.repeats.First(now, c.Service)
 	}
 	return p, nil
 }
@@ -176,7 +181,7 @@
 	tries := 1
 	for ; ; tries++ {
 		response, verdict, err = p.send(request)
-		if err != nil || !p.mayRepeat(request, response, verdict, tries) {
+		if err != nil || !p.mayRepeat(time.Now(), request, response, verdict, tries) {
 			break
 		}
 		p.relay.Stats.Retries.Add("Repeated", 1)
@@ -231,34 +236,27 @@
 // calls of its own, is sent to the upstream again. The gate lets in no more
 // requests than the upstream has slots, so one that turns requests away has room
 // for them all the same.
-func (p *placement) mayRepeat(request *http.Request, response *http.Response, verdict Verdict, tries int) bool {
+func (p *placement) mayRepeat(now time.Time, request *http.Request, response *http.Response, verdict Verdict, tries int) bool {
 	c := &p.running.Chain
 	shed := verdict.NotRun && !verdict.Moved
-	failed := response.StatusCode == http.StatusInternalServerError && c.Idempotent && c.Route != "" && len(p.relay.callees.all(time.Now())) == 0
+	failed := response.StatusCode == http.StatusInternalServerError && c.Idempotent && c.Route != "" && len(p.relay.callees.all(now)) == 0
 	if !shed && !failed || request.Body != nil || tries >= maxRepeats || p.ctx.Err() != nil {
+		p.relay.shortage.observe(now, false)
 		return false
 	}
-	return p.relay.repeats.Retry(c.Service, repeatsLeft(c))
+	allowed := p.relay.repeats.Retry(now, c.Service, repeatsLeft(c))
+	p.relay.shortage.observe(now, !allowed)
+	return allowed
 }
 
-// Parts of the retries that less valuable requests leave to others. A root
-// request is done with one success; a call within a chain is one of several that
-// its root needs.
-const (
-	leftByDeep = 0.25
-	leftByRest = 0.6
-)
-
-// mostUrgent is the least importance of requests that do not leave retries to
-// more important ones.
-const mostUrgent = rows.MaxImportance - 1
+// leftByDeep is the part of the retries that calls within a chain leave to root
+// requests. A root request is done with one success, and a call within a chain
+// is one of several that its root needs.
+const leftByDeep = 0.15
 
 // repeatsLeft returns the part of the retries that a call leaves to others.
 func repeatsLeft(c *chain.Chain) float64 {
-	switch {
-	case c.Importance < mostUrgent:
-		return leftByRest
-	case c.Depth > 0:
+	if c.Depth > 0 {
 		return leftByDeep
 	}
 	return 0
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/wasabibend/wasabibend/internal/conn/conns"
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
 	"github.com/wasabibend/wasabibend/internal/process/admit"
@@ -33,8 +34,9 @@
 
 // Times of calls between nodes.
 const (
-	// heartbeat is the interval of interim answers of a gate.
-	heartbeat = time.Second
+	// heartbeat is the interval of interim answers of a gate. Most answers are
+	// there sooner.
+	heartbeat = 400 * time.Millisecond
 	// silence is the pause after which a connection between nodes is given up.
 	silence = 3 * heartbeat
 	// graceRetry is when to come back to a route that has no upstream.
@@ -88,6 +90,8 @@
 	Claimer Claimer
 	Config  *snaps.Holder
 	Crashes Crashes
+	// Conns tells whether callers should close their connections; nil for never.
+	Conns *conns.Tracker
 	// Dialect is the product's own if it is nil.
 	Dialect   Dialect
 	FirstByte time.Duration
@@ -123,6 +127,7 @@
 	ratios    *chain.Ratios
 	repeats   *chain.Ratios // of calls to the upstream beside the node
 	shares    *shares
+	shortage  *shortage
 	tokens    *chain.Tokens
 }
 
@@ -142,6 +147,7 @@
 		ratios:    chain.NewRatios(),
 		repeats:   chain.NewRatios(),
 		shares:    newShares(),
+		shortage:  newShortage(),
 		tokens:    chain.NewTokens(),
 	}
 	r.calls.Store(rand.Uint64())
@@ -178,7 +184,7 @@
 // request that was turned away has cost least, and by the nodes that call them.
 // What is left over covers calls that retries bring about.
 const (
-	repeatPart = 0.6
+	repeatPart = 0.65
 	retryPart  = 0.15
 )
 
@@ -203,8 +209,11 @@
 		r.refuse(w, "", refuse.New(refuse.Overloaded, graceRetry, "the node holds too many requests"))
 		return
 	}
-	if r.leaving.Load() {
-		w.Header().Set("Connection", "close")
+	if r.leaving.Load() || r.Conns != nil && r.Conns.Crowded() {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	if gone(req.Context()) {
+		panic(http.ErrAbortHandler)
 	}
 	id := r.Dialect.ID(req.Header)
 	terms, refusal := r.Dialect.Terms(req)
@@ -237,7 +246,7 @@
 	if p.inner {
 		r.callees.note(now, p.route)
 	}
-	r.ratios.First(p.service)
+	r.ratios.First(now, p.service)
 	if key := req.Header.Get(headerIdempotency); key != "" && !c.idempotent && p.customer != "" && r.Catalog == nil {
 		release, refusal := r.Claimer.Claim(req.Context(), p.customer, key)
 		if refusal != nil {
@@ -271,7 +280,7 @@
 		r.refuse(w, running.Chain.Customer, refusal)
 		return
 	}
-	r.ratios.First(call.chain.Service)
+	r.ratios.First(now, call.chain.Service)
 	if refusal, status := r.serve(w, req, call); refusal != nil || status >= http.StatusInternalServerError {
 		running.Budget.Fail(call.fingerprint)
 	}
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -189,14 +189,14 @@
 		if !s.idempotent || s.retried || refusal.Cause != refuse.UpstreamFailed {
 			return false
 		}
-		if !s.relay.ratios.Retry(s.chain.Service, 0) || !s.budget.Take() {
+		if !s.relay.ratios.Retry(time.Now(), s.chain.Service, 0) || !s.budget.Take() {
 			return false
 		}
 		s.retried = true
 		s.relay.Stats.Retries.Add("Failed", 1)
 		return true
 	case refusal.Cause == refuse.Overloaded, refusal.Cause == refuse.Shed:
-		if !s.relay.ratios.Retry(s.chain.Service, 0) {
+		if !s.relay.ratios.Retry(time.Now(), s.chain.Service, 0) {
 			return false
 		}
 		s.relay.Stats.Retries.Add(string(refusal.Cause), 1)
@@ -328,9 +328,9 @@
 	}
 	var sendErr *pool.SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
-		return refuse.New(refuse.UpstreamFailed, graceRetry, "no connection to the upstream's node")
+		return refuse.New(refuse.UpstreamFailed, graceRetry, "no connection to the upstream's node: %v", sendErr.Err)
 	}
-	return refuse.Uncertain(refuse.UpstreamFailed, "the upstream's node did not answer")
+	return refuse.Uncertain(refuse.UpstreamFailed, "the upstream's node did not answer: %v", err)
 }
 
 // outgoing returns the request to send on, below a path.
