Ask the upstream by its health check at the start, and use it for longer at a stop

Change: the upstream takes calls for three quarters of the lame-duck time, and a node that starts asks it who it is by the health check of its service. Only the first start of a fleet spreads its calls to the store.

--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -51,7 +51,9 @@
 
 // followAll joins the other nodes and keeps all feeds up to date.
 func (n *Node) followAll(ctx context.Context) {
-	sleep(ctx, rand.N(startSpread))
+	if n.settings.Load().FirstStart {
+		sleep(ctx, rand.N(startSpread))
+	}
 	n.obtainSecret(ctx)
 	var workers conc.WaitGroup
 	for _, f := range n.feeds {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -40,6 +40,7 @@
 	drainPoll     = 20 * time.Millisecond
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	probePoll     = 100 * time.Millisecond
 	pruneInterval = time.Minute
 	reapInterval  = time.Second
 	// retryBoundsPoll is how often the retries are divided among the nodes anew.
@@ -48,6 +49,10 @@
 	upstreamPoll    = 300 * time.Millisecond
 )
 
+// upstreamPart is the part of the lame-duck time in which the upstream beside a
+// node that stops goes on taking calls.
+const upstreamPart = 0.75
+
 // Node is one process of the system.
 type Node struct {
 	agent    *member.Agent
@@ -81,6 +86,7 @@
 	catalogDecoder    snaps.CatalogDecoder
 	catalogKey        string
 	catalogPrefix     string
+	probe             Probe // nil for none
 	readyPath         string
 	upstreamInterface func(*Node) http.Handler // nil for the product's own
 }
@@ -104,6 +110,15 @@
 	return func(n *Node) { n.dialect = dialect }
 }
 
+// WithProbe lets a node that starts ask the upstream beside it who it is, at the
+// health path of its service, instead of waiting until it announces itself.
+func WithProbe(probe Probe) Option {
+	return func(n *Node) { n.probe = probe }
+}
+
+// Probe asks the upstream beside a node who it is.
+type Probe func(ctx context.Context, settings *setup.Settings, path string) (admin.Announcement, error)
+
 // WithReadyPath sets a path at which the node tells whether it takes requests,
 // besides admin.PathReady.
 func WithReadyPath(path string) Option {
@@ -253,7 +268,7 @@
 	for _, s := range servers {
 		workers.Go(s.serve)
 	}
-	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.prune, n.quota.Run, n.reapConns, n.reportNotes, n.seed, n.watchUpstream} {
+	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.probeUpstream, n.prune, n.quota.Run, n.reapConns, n.reportNotes, n.seed, n.watchUpstream} {
 		workers.Go(func() { loop(n.ctx) })
 	}
 	n.log.Info().Stringer("Callers", n.settings.Load().Callers).Stringer("Peers", n.settings.Load().Peers).Msg("node serves")
@@ -283,12 +298,14 @@
 	n.leaving.Store(true)
 	n.relay.Leave()
 	n.quota.Leave(ctx)
-	sleep(drainCtx, n.settings.Load().LameDuck/2)
+	lameDuck := n.settings.Load().LameDuck
+	upstreamDuck := time.Duration(upstreamPart * float64(lameDuck))
+	sleep(drainCtx, upstreamDuck)
 	n.relay.Close()
 	if r, changed := n.table.SetSelf(time.Now(), n.table.Self().Service, member.Draining); changed {
 		n.agent.Spread(ctx, []member.Record{r})
 	}
-	sleep(drainCtx, n.settings.Load().LameDuck/2)
+	sleep(drainCtx, lameDuck-upstreamDuck)
 	for n.relay.InFlight() > 0 && sleep(drainCtx, drainPoll) {
 	}
 	for _, s := range servers {
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -166,6 +166,36 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// probeTries bounds the probes of a node that starts.
+const probeTries = 5
+
+// probeUpstream asks the upstream who it is, once the configuration tells where,
+// unless it has announced itself by then.
+func (n *Node) probeUpstream(ctx context.Context) {
+	settings := n.settings.Load()
+	if n.probe == nil || n.catalog == nil || !settings.Server.IsValid() {
+		return
+	}
+	for n.catalog.Snapshot().CatalogVersion() == 0 {
+		if !sleep(ctx, probePoll) {
+			return
+		}
+	}
+	for tries := 0; tries < probeTries && sleep(ctx, probePoll); tries++ {
+		if _, readiness := n.upstream.state(time.Now()); readiness != member.Absent {
+			return
+		}
+		announcement, err := n.probe(ctx, settings, n.catalog.Snapshot().HealthPath(settings.Service))
+		if err != nil {
+			n.log.Info().Err(err).Msg("the upstream did not tell who it is")
+			continue
+		}
+		n.log.Info().Str("Instance", announcement.Instance).Int("Slots", announcement.Slots).Msg("the upstream told who it is")
+		n.Announce(time.Now(), announcement)
+		return
+	}
+}
+
 // watchUpstream notices when the upstream falls silent.
 func (n *Node) watchUpstream(ctx context.Context) {
 	for sleep(ctx, upstreamPoll) {
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -22,6 +22,8 @@
 	// Dialect is the form in which callers, the upstream and the operators
 	// speak with the node.
 	Dialect Dialect
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 	// Service is the service of the upstream beside the node, empty for what
 	// the upstream announces.
 	Service string
@@ -125,6 +127,7 @@
 		Drain:       r.duration("Limits", "Drain", 10*time.Minute),
 		Expiry:      r.duration("Limits", "Expiry", 3*time.Second),
 		FirstByte:   r.duration("Limits", "FirstByte", time.Minute),
+		FirstStart:  r.text("Node", "FirstStart", false) == "true",
 		Grace:       r.duration("Limits", "Grace", 0),
 		HeaderBytes: r.number("Limits", "HeaderBytes", 32<<10, 1<<10, 1<<20),
 		Idle:        r.duration("Limits", "Idle", 30*time.Second),
--- a/internal/version/snaps/catalog.go
+++ b/internal/version/snaps/catalog.go
@@ -32,6 +32,7 @@
 	limits    rows.Limits
 	named     map[string]*rows.Customer
 	routes    map[string][]*rows.Route // by host, the longest prefix first
+	services  []rows.ServiceInfo
 	version   uint64
 }
 
@@ -41,6 +42,7 @@
 		limits:    c.Limits,
 		named:     make(map[string]*rows.Customer, len(c.Customers)),
 		routes:    make(map[string][]*rows.Route),
+		services:  c.Services,
 		version:   c.Version,
 	}
 	for i := range c.Customers {
@@ -78,6 +80,20 @@
 	return s.catalog.version
 }
 
+// HealthPath returns where upstreams of a service tell whether they are well,
+// empty for unknown.
+func (s *Snapshot) HealthPath(service string) string {
+	if s.catalog == nil {
+		return ""
+	}
+	for _, known := range s.catalog.services {
+		if known.Name == service {
+			return known.HealthPath
+		}
+	}
+	return ""
+}
+
 // Limits returns the limits of the catalog in force.
 func (s *Snapshot) Limits() rows.Limits {
 	if s.catalog == nil {
--- a/pkg/rows/catalog.go
+++ b/pkg/rows/catalog.go
@@ -18,6 +18,7 @@
 	Customers []Customer
 	Limits    Limits
 	Routes    []Route
+	Services  []ServiceInfo
 	// Version orders catalogs; a later one has a higher version.
 	Version uint64
 }
@@ -57,6 +58,13 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
+// ServiceInfo is what is known of a service's upstreams.
+type ServiceInfo struct {
+	// HealthPath is where an upstream tells whether it is well, empty for nowhere.
+	HealthPath string
+	Name       string
+}
+
 // Route sets how requests of a host below a path prefix are treated.
 type Route struct {
 	// Attempts is the number of upstreams that one request may be sent to.
