Keep allocators off nodes that leave, and with their holder while the store is away

An allocator had been handed to a node that was leaving itself, and in the zone that was cut off a leaving holder had given its allocator up although nobody could take it over without the store.

Change: a node that stops says so in its membership record at once; such nodes are no successors, candidates or watchers. A holder that leaves goes on dealing until the store answers or the node ends.

What is left there: a holder that ends in a cut-off zone has no successor until the cut heals.

--- a/internal/process/member/record.go
+++ b/internal/process/member/record.go
@@ -72,6 +72,8 @@
 	Readiness   Readiness
 	Health      Health
 	Incarnation uint64
+	// Leaving tells that the node stops soon and takes no new role.
+	Leaving bool `cbor:",omitempty"`
 }
 
 // Check implements wire.Checker.
@@ -114,6 +116,9 @@
 	binary.LittleEndian.PutUint64(b[8:], r.Incarnation)
 	b[16] = byte(r.Health)
 	b[17] = byte(r.Readiness)
+	if r.Leaving {
+		b[17] |= 1 << 7
+	}
 	return xxhash.Sum64(b[:])
 }
 
--- a/internal/process/member/table.go
+++ b/internal/process/member/table.go
@@ -85,6 +85,16 @@
 	return t.self, true
 }
 
+// AnnounceLeave marks the node itself as leaving and returns the record to spread.
+func (t *Table) AnnounceLeave(now time.Time) Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Leaving = true
+	t.raise(now, t.self.Incarnation)
+	t.rebuild()
+	return t.self
+}
+
 // Leave marks the node itself as dead and returns the record to spread.
 func (t *Table) Leave(now time.Time) Record {
 	t.mu.Lock()
@@ -324,12 +334,12 @@
 	return v.services[name]
 }
 
-// Zone returns the first nodes of an availability zone in the order of the
-// ring, at most a number of them.
+// Zone returns the first nodes of an availability zone in the order of the ring
+// that do not leave, at most a number of them.
 func (v *View) Zone(zone string, most int) []Record {
 	var records []Record
 	for _, r := range v.ring {
-		if r.Zone == zone && r.Health == Alive && len(records) < most {
+		if r.Zone == zone && r.Health == Alive && !r.Leaving && len(records) < most {
 			records = append(records, r)
 		}
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -297,7 +297,10 @@
 	defer cancel()
 	n.leaving.Store(true)
 	n.relay.Leave()
-	n.quota.Leave(ctx)
+	n.agent.Spread(ctx, []member.Record{n.table.AnnounceLeave(time.Now())})
+	var handover conc.WaitGroup
+	defer handover.Wait()
+	handover.Go(func() { n.quota.Leave(drainCtx) })
 	lameDuck := n.settings.Load().LameDuck
 	upstreamDuck := time.Duration(upstreamPart * float64(lameDuck))
 	sleep(drainCtx, upstreamDuck)
--- a/internal/process/quota/keep.go
+++ b/internal/process/quota/keep.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
+	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
@@ -48,9 +49,15 @@
 	}
 }
 
-// Leave hands the allocators that the node holds to other nodes.
+// Leave hands the allocators that the node holds to other nodes. While the
+// platform does not answer it goes on dealing, as nobody could take over.
 func (c *Client) Leave(ctx context.Context) {
 	for shard, lease := range c.leases {
+		for lease.Holds() && !c.platformAnswers(ctx, shard) {
+			if pause.For(ctx, leaveInterval) != nil {
+				return
+			}
+		}
 		next, ok := c.successor(shard)
 		if !ok {
 			continue
@@ -72,6 +79,18 @@
 	}
 }
 
+// leaveInterval is how often a node that leaves asks whether the platform
+// answers.
+const leaveInterval = 300 * time.Millisecond
+
+// platformAnswers reports whether the platform answers in time.
+func (c *Client) platformAnswers(ctx context.Context, shard int) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTime)
+	defer cancel()
+	_, err := c.Store.Get(ctx, kinds.AllocatorKey(c.Zone, shard))
+	return err == nil
+}
+
 // successor returns the node to hand a shard's allocator to.
 func (c *Client) successor(shard int) (netip.AddrPort, bool) {
 	for _, r := range c.rank(shard) {
@@ -318,7 +337,7 @@
 func (c *Client) rank(shard int) []member.Record {
 	var records []member.Record
 	for _, r := range c.Table.View().All() {
-		if r.Zone == c.Zone && r.Health == member.Alive && r.Readiness != member.Draining {
+		if r.Zone == c.Zone && r.Health == member.Alive && r.Readiness != member.Draining && !r.Leaving {
 			records = append(records, r)
 		}
 	}
