--- a/internal/conn/wire/wire.go
+++ b/internal/conn/wire/wire.go
@@ -27,6 +27,7 @@
 	KindPull
 	KindQuarantine
 	KindSync
+	KindWatch
 )
 
 // Frame is one message on a link.
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 
 // Times of the agent.
 const (
+	// askedTime is how long a node watches the platform that was asked to.
+	askedTime = 5 * time.Second
 	// isolatedAfter is how long no node answers until the node takes itself as
 	// cut off from the others.
 	isolatedAfter = 1500 * time.Millisecond
@@ -29,6 +32,10 @@
 // deltaBytes bounds the objects in one answer to a pull.
 const deltaBytes = 256 << 10
 
+// delegates is the number of nodes that are asked to watch the platform by one
+// that it does not answer.
+const delegates = 2
+
 // maxFeeds bounds the feeds that a message may name.
 const maxFeeds = 8
 
@@ -91,6 +98,9 @@
 	return nil
 }
 
+// Watch asks a node to watch the platform for a while.
+type Watch struct{}
+
 // Pull asks for the changes of the configuration after a revision.
 type Pull struct {
 	Feed int `cbor:",omitempty"`
@@ -113,9 +123,11 @@
 	mesh  Mesh
 	table *Table
 
-	wake chan struct{}
+	asked chan struct{} // tells that the node was asked to watch
+	wake  chan struct{}
 
 	mu        sync.Mutex
+	askedTill time.Time      // the node watches the platform for others
 	ahead     netip.AddrPort // a peer with a newer configuration
 	differing map[netip.AddrPort]int
 	heardAt   time.Time // of the last answer to a ping
@@ -127,6 +139,7 @@
 // pass on, and sets its handlers on the mesh.
 func NewAgent(mesh Mesh, table *Table, log zerolog.Logger, feeds ...*snaps.Holder) *Agent {
 	a := &Agent{
+		asked:     make(chan struct{}, 1),
 		differing: make(map[netip.AddrPort]int),
 		feeds:     feeds,
 		log:       log,
@@ -139,6 +152,7 @@
 	mesh.Handle(wire.KindPing, a.handlePing)
 	mesh.Handle(wire.KindPull, a.handlePull)
 	mesh.Handle(wire.KindSync, a.handleSync)
+	mesh.Handle(wire.KindWatch, a.handleWatch)
 	return a
 }
 
@@ -265,7 +279,10 @@
 
 // Watches reports whether the node is among the first ones of its availability
 // zone, which watch the platform for the others.
-func (a *Agent) Watches(first int) bool {
+func (a *Agent) Watches(now time.Time, first int) bool {
+	if a.isAsked(now) {
+		return true
+	}
 	self := a.table.Self()
 	for _, r := range a.table.View().Zone(self.Zone, first) {
 		if r.Peers == self.Peers {
@@ -275,6 +292,49 @@
 	return false
 }
 
+// Asked returns a channel that tells when the node is asked to watch.
+func (a *Agent) Asked() <-chan struct{} {
+	return a.asked
+}
+
+func (a *Agent) isAsked(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Before(a.askedTill)
+}
+
+// Delegate asks the next nodes of the availability zone to watch the platform,
+// which does not answer this one.
+func (a *Agent) Delegate(ctx context.Context) {
+	self := a.table.Self()
+	zone := a.table.View().Zone(self.Zone, a.table.View().Size())
+	at := slices.IndexFunc(zone, func(r Record) bool { return r.Peers == self.Peers })
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var workers conc.WaitGroup
+	for i := 1; i <= min(delegates, len(zone)-1); i++ {
+		peer := zone[(at+i)%len(zone)].Peers
+		workers.Go(func() {
+			if err := a.mesh.Send(ctx, peer, wire.KindWatch, Watch{}); err != nil {
+				a.log.Debug().Err(err).Stringer("Peer", peer).Msg("peer was not asked to watch")
+			}
+		})
+	}
+	workers.Wait()
+}
+
+func (a *Agent) handleWatch(netip.AddrPort, []byte) (any, error) {
+	now := time.Now()
+	a.mu.Lock()
+	a.askedTill = now.Add(askedTime)
+	a.mu.Unlock()
+	select {
+	case a.asked <- struct{}{}:
+	default:
+	}
+	return nil, nil
+}
+
 func (a *Agent) round(ctx context.Context) {
 	var workers conc.WaitGroup
 	for _, peer := range a.table.View().Neighbours(a.table.Self().Peers) {
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -68,23 +68,35 @@
 func (n *Node) follow(ctx context.Context, f feed) {
 	backoff := backoffLeast
 	for ctx.Err() == nil {
-		if now := time.Now(); !n.agent.Watches(f.watchers) && !n.agent.Isolated(now) && !stale(now, f) {
-			sleep(ctx, followPoll)
+		if now := time.Now(); !n.agent.Watches(now, f.watchers) && !n.agent.Isolated(now) && !stale(now, f) {
+			n.sleepUnlessAsked(ctx)
 			continue
 		}
 		if err := n.watch(ctx, f); err == nil {
 			backoff = backoffLeast
 			continue
 		}
+		n.agent.Delegate(ctx)
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(backoff*2, backoffMost)
-		if !n.agent.Watches(f.watchers) && !n.agent.Isolated(time.Now()) {
+		if !n.agent.Watches(time.Now(), f.watchers) && !n.agent.Isolated(time.Now()) {
 			zone := len(n.table.View().Zone(n.settings.Load().Zone, 1<<30))
 			sleep(ctx, rand.N(2*max(staleAfter, time.Duration(zone)*perNode)))
 		}
 	}
 }
 
+// sleepUnlessAsked waits until the node is asked to watch, or for a short time.
+func (n *Node) sleepUnlessAsked(ctx context.Context) {
+	timer := time.NewTimer(followPoll)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.agent.Asked():
+	case <-timer.C:
+	}
+}
+
 // stale reports whether neither the platform nor a peer was heard of for long.
 func stale(now time.Time, f feed) bool {
 	age, known := f.holder.Age(now)
--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -84,7 +84,7 @@
 // first of it: they are nodes that live, and groups that formed apart join.
 func (n *Node) seed(ctx context.Context) {
 	for sleep(ctx, seedInterval/2+rand.N(seedInterval)) {
-		if !n.agent.Watches(1) {
+		if !n.agent.Watches(time.Now(), 1) {
 			continue
 		}
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -165,7 +165,7 @@
 
 // Parts of the grace that a stop may take.
 const (
-	drainPart    = 0.93
+	drainPart    = 0.88
 	lameDuckPart = 0.55
 )
 
--- a/internal/request/relay/caller.go
+++ b/internal/request/relay/caller.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -16,6 +19,50 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// errCallerLeft means that the caller has closed its connection.
+var errCallerLeft = errors.New("the caller has left")
+
+// callerPoll is how often the connection of a caller that waits is looked at.
+const callerPoll = 200 * time.Millisecond
+
+// callerWatch ends the work on a request when its caller leaves. Its lock is a
+// leaf.
+type callerWatch struct {
+	cancel context.CancelCauseFunc
+	ctx    context.Context
+
+	mu      sync.Mutex
+	stopped bool
+	timer   *time.Timer
+}
+
+func watchCaller(ctx context.Context, cancel context.CancelCauseFunc) *callerWatch {
+	w := &callerWatch{cancel: cancel, ctx: ctx}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(callerPoll, w.look)
+	return w
+}
+
+func (w *callerWatch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+	case gone(w.ctx):
+		w.cancel(errCallerLeft)
+	default:
+		w.timer.Reset(callerPoll)
+	}
+}
+
+func (w *callerWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
 // gone reports whether the caller has closed its side of the connection. The
 // server finds out by itself only if no other request was sent behind the one
 // that it serves.
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -56,6 +56,8 @@
 		stop := context.AfterFunc(c.context, func() { cancel(errRootEnded) })
 		defer stop()
 	}
+	watch := watchCaller(ctx, cancel)
+	defer watch.stop()
 	ctx, span := r.Tracer.Start(spans.Context(ctx, &c.chain), "entry")
 	defer span.End()
 	if span.IsRecording() {
