Join at several nodes, and suspect only requests that crash their upstream

Change: a node that starts joins at up to six others at once, and three times more 0.3 s apart. A refusal says whether the upstream has crashed, and only then is the request a suspect when it is sent again.

--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
@@ -14,7 +17,7 @@
 
 // Times of joining the other nodes.
 const (
-	joinTimeout = 2 * time.Second
+	joinTimeout = time.Second
 	// seedInterval is the mean interval at which one node of an availability
 	// zone looks after its seeds. Groups of nodes that formed apart find each
 	// other within it.
@@ -24,6 +27,16 @@
 	startSpread = 400 * time.Millisecond
 )
 
+// Bounds of joining while many nodes start.
+const (
+	// joinMost is the number of nodes that a node joins at.
+	joinMost = 6
+	// settleRounds is how often it joins again, settleInterval apart, which is
+	// about the time in which all nodes of a fleet start.
+	settleRounds   = 3
+	settleInterval = 300 * time.Millisecond
+)
+
 // joinTries bounds the tries to join at seeds that do not answer.
 const joinTries = 5
 
@@ -36,7 +49,8 @@
 	for ctx.Err() == nil {
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
 		addresses := append(seedsOf(listing), n.settings.Load().Join...)
-		if n.joinAny(ctx, addresses) {
+		if n.joinAny(ctx, slices.Clone(addresses)) {
+			n.settle(ctx, addresses)
 			return
 		}
 		if err == nil && n.addSeed(ctx, n.ownSeeds(listing)) {
@@ -48,21 +62,37 @@
 	}
 }
 
-// joinAny joins at one of the addresses and reports whether one answered.
+// joinAny joins at some of the addresses at once and reports whether one
+// answered. Several know more than one while many nodes start.
 func (n *Node) joinAny(ctx context.Context, addresses []netip.AddrPort) bool {
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses {
-		if address == n.settings.Load().Peers {
-			continue
-		}
-		joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		err := n.agent.Join(joinCtx, address)
-		cancel()
-		if err == nil {
-			return true
+	others := slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return a == n.settings.Load().Peers })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var joined atomic.Bool
+	var workers conc.WaitGroup
+	for _, address := range others[:min(len(others), joinMost)] {
+		workers.Go(func() {
+			if err := n.agent.Join(joinCtx, address); err != nil {
+				n.log.Debug().Err(err).Stringer("Peer", address).Msg("peer did not let the node join")
+				return
+			}
+			joined.Store(true)
+		})
+	}
+	workers.Wait()
+	return joined.Load()
+}
+
+// settle joins some times more, as nodes that start at once know little of each
+// other at first.
+func (n *Node) settle(ctx context.Context, addresses []netip.AddrPort) {
+	for range settleRounds {
+		if !sleep(ctx, settleInterval) {
+			return
 		}
+		n.joinAny(ctx, slices.Clone(addresses))
 	}
-	return false
 }
 
 // joinSeeds joins at the seeds that the platform holds by now. Of two nodes
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -191,10 +191,12 @@
 	}
 	left := p.running.Budget.Close()
 	if err != nil {
-		p.checkCrash(err)
+		crashed := p.checkCrash(err)
 		p.noteTurnedAway(time.Now(), p.relay.Dialect.ID(request.Header), err.Error(), tries)
 		p.leave(true)
-		return nil, left, p.upstreamFailed(err)
+		refusal := p.upstreamFailed(err)
+		refusal.Crashed = crashed
+		return nil, left, refusal
 	}
 	if refusal := p.turnedAway(verdict); refusal != nil {
 		if err := discard(response); err != nil {
@@ -287,19 +289,22 @@
 	return nil
 }
 
-// checkCrash finds out whether the upstream is gone, and whether it crashed
-// while it worked on the request.
-func (p *placement) checkCrash(err error) {
+// checkCrash finds out whether the upstream is gone, and reports whether it
+// crashed while it worked on the request.
+func (p *placement) checkCrash(err error) bool {
 	var sendErr *pool.SendError
 	switch {
 	case !errors.As(err, &sendErr) || p.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
-		return
+		return false
 	case !sendErr.Sent:
 		p.relay.Local.Crashed()
+		return false
 	case !listens(p.address):
 		p.relay.Local.Crashed()
 		p.relay.Crashes.Report(time.Now())
+		return true
 	}
+	return false
 }
 
 // listens reports whether a process takes connections at an address. A process
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -316,7 +316,7 @@
 		if refusal.Cause == refuse.NoUpstream || refusal.Cause == refuse.Draining {
 			s.relay.balance.Eject(time.Now(), node)
 		}
-		s.suspect = s.suspect || (refusal.Cause == refuse.UpstreamFailed && refusal.Ran == refuse.MayHaveRun)
+		s.suspect = s.suspect || refusal.Crashed
 		_ = discard(response)
 		return nil, left, refusal
 	}
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -13,6 +13,7 @@
 // Names of the response headers of a refusal.
 const (
 	HeaderCause      = "Wasabibend-Refusal"
+	HeaderCrashed    = "Wasabibend-Crashed"
 	HeaderRan        = "Wasabibend-Ran"
 	HeaderRetryAfter = "Wasabibend-Retry-After-Ms"
 )
@@ -85,7 +86,9 @@
 
 // Refusal is the final answer to a request that was not completed.
 type Refusal struct {
-	Cause      Cause
+	Cause Cause
+	// Crashed tells that the upstream crashed while it worked on the request.
+	Crashed    bool
 	Ran        Ran
 	RetryAfter time.Duration
 	Detail     string
@@ -112,6 +115,7 @@
 	if header.Get(HeaderRan) == string(NotRun) {
 		r.Ran = NotRun
 	}
+	r.Crashed = header.Get(HeaderCrashed) != ""
 	if ms, err := strconv.ParseInt(header.Get(HeaderRetryAfter), 10, 64); err == nil && ms > 0 {
 		r.RetryAfter = time.Duration(ms) * time.Millisecond
 	}
@@ -148,6 +152,9 @@
 	if r.Detail != "" {
 		h.Set("Wasabibend-Detail", r.Detail)
 	}
+	if r.Crashed {
+		h.Set(HeaderCrashed, "1")
+	}
 	if r.RetryAfter > 0 {
 		seconds := (r.RetryAfter + time.Second - 1) / time.Second
 		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
