Say that a request has not run only if no try of it ran

Cause, found on reading the diff: a gate that sent an idempotent request again after a 500, and then had it turned away, refused it as not run.

Change: a refusal after a try that ran says MayHaveRun. Seen failing first: TestRepeats, 'failed, then turned away' (NotRun instead of MayHaveRun), then passing with its four other cases.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -178,12 +178,14 @@
 	var verdict Verdict
 	var response *http.Response
 	var err error
+	ran := false // an earlier try ran and failed
 	tries := 1
 	for ; ; tries++ {
 		response, verdict, err = p.send(request)
 		if err != nil || !p.mayRepeat(time.Now(), request, response, verdict, tries) {
 			break
 		}
+		ran = ran || !verdict.NotRun
 		p.relay.Stats.Retries.Add("Repeated", 1)
 		if err = discard(response); err != nil {
 			break
@@ -196,7 +198,7 @@
 		p.leave(true)
 		refusal := p.upstreamFailed(err)
 		refusal.Crashed = crashed
-		return nil, left, refusal
+		return nil, left, refusal.After(ran)
 	}
 	if refusal := p.turnedAway(verdict); refusal != nil {
 		if err := discard(response); err != nil {
@@ -204,7 +206,7 @@
 		}
 		p.noteTurnedAway(time.Now(), p.relay.Dialect.ID(request.Header), string(refusal.Cause), tries)
 		p.leave(true)
-		return nil, left, refusal
+		return nil, left, refusal.After(ran)
 	}
 	response.Header = p.relay.forward(response.Header)
 	failed := response.StatusCode >= http.StatusInternalServerError
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -104,6 +104,14 @@
 	return &Refusal{Cause: cause, Ran: MayHaveRun, Detail: fmt.Sprintf(format, args...)}
 }
 
+// After returns the Refusal of a request of which an earlier try may have run.
+func (r *Refusal) After(ran bool) *Refusal {
+	if ran {
+		r.Ran = MayHaveRun
+	}
+	return r
+}
+
 // Parse returns the Refusal that a response carries, or nil if the response is
 // not a refusal. The response's body is left unread.
 func Parse(header http.Header) *Refusal {
