Refuse callers that come to a node after its lame-duck time

Change: after the lame-duck time callers get 503 at once; calls of the upstream beside the node are still served.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -289,8 +289,8 @@
 
 // drain ends the node's work without cutting any. It goes on serving all while
 // callers learn that it leaves, then lets the others know that the upstream
-// beside it takes nothing more, and waits for the requests in flight, which the
-// upstream's own calls are part of.
+// beside it takes nothing more, refuses callers that come all the same, and waits
+// for the requests in flight, which the upstream's own calls are part of.
 func (n *Node) drain(ctx context.Context, servers []*server) {
 	n.log.Info().Dur("Within", n.settings.Load().Drain).Msg("node leaves")
 	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Load().Drain)
@@ -309,6 +309,7 @@
 		n.agent.Spread(ctx, []member.Record{r})
 	}
 	sleep(drainCtx, lameDuck-upstreamDuck)
+	n.relay.End()
 	for n.relay.InFlight() > 0 && drainCtx.Err() == nil {
 		sleep(drainCtx, drainPoll)
 	}
--- /dev/null
+++ b/internal/request/relay/end_test.go
@@ -0,0 +1,24 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEnd checks that a node that is about to end answers a caller that comes all
+// the same, and says that its request has not run.
+func TestEnd(t *testing.T) {
+	r := newRelay(t, netip.AddrPort{}, netip.AddrPort{})
+	r.Leave()
+	r.End()
+	w := httptest.NewRecorder()
+	r.ServeCaller(w, httptest.NewRequest(http.MethodGet, "/ledger/x", nil))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Wasabibend-Refusal"), "Draining")
+	assert.Equal(t, w.Header().Get("Wasabibend-Ran"), "NotRun")
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -122,6 +122,7 @@
 	callees   *callees
 	inFlight  atomic.Int64
 	closed    atomic.Bool
+	ended     atomic.Bool
 	leaving   atomic.Bool
 	proofs    sync.Map // from netip.AddrPort to string
 	ratios    *chain.Ratios
@@ -175,6 +176,12 @@
 	return r.closed.Load()
 }
 
+// End makes the relay refuse new requests of callers too. The calls that the
+// upstream makes for requests in flight still go on to others.
+func (r *Relay) End() {
+	r.ended.Store(true)
+}
+
 // Prune forgets nodes that were not called for a time.
 func (r *Relay) Prune(now time.Time, idle time.Duration) {
 	r.balance.Prune(now, idle)
@@ -226,6 +233,10 @@
 		r.turnAway(w, id, &p, refusal)
 		return
 	}
+	if r.ended.Load() && !p.inner {
+		r.turnAway(w, id, &p, refuse.New(refuse.Draining, graceRetry, "the node is about to end"))
+		return
+	}
 	if p.limit.Rate > 0 {
 		if refusal := r.Admitter.Admit(req.Context(), now, p.rate, p.limit); refusal != nil {
 			r.turnAway(w, id, &p, refusal)
