--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -35,7 +35,7 @@
 const (
 	// catalogWait is less than the two seconds within which a change of the
 	// catalog must be in force.
-	catalogWait = 1200 * time.Millisecond
+	catalogWait = 900 * time.Millisecond
 	// recordsWait bounds how long the nodes may not know of a new holder of an
 	// allocator.
 	recordsWait = 5 * time.Second
