--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -309,9 +309,10 @@
 		n.agent.Spread(ctx, []member.Record{r})
 	}
 	sleep(drainCtx, lameDuck-upstreamDuck)
-	n.relay.End()
-	for n.relay.InFlight() > 0 && drainCtx.Err() == nil {
-		sleep(drainCtx, drainPoll)
+	if n.catalog != nil {
+		// The upstream's own calls come to the callers' listener.
+		n.relay.End()
+		n.awaitIdle(drainCtx)
 	}
 	for _, s := range servers {
 		if s.drains {
@@ -320,9 +321,17 @@
 			}
 		}
 	}
+	n.awaitIdle(drainCtx)
 	n.agent.Spread(ctx, []member.Record{n.table.Leave(time.Now())})
 }
 
+// awaitIdle waits until no request is in flight.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for n.relay.InFlight() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+}
+
 // reapConns closes callers' connections that are not used.
 func (n *Node) reapConns(ctx context.Context) {
 	for sleep(ctx, reapInterval) {
