Close a leaving node's listener without cutting connections that wait

Closing a listener resets what waits to be accepted, and net/http closes a connection on which the first request comes after Shutdown has begun, unanswered.

Ruled out: a queue of length one with a connection of our own in it: handshakes of several callers at once pass the check of the queue before any has entered it.

Change: Listener.Quiesce lets the kernel drop packets that open connections, waits until those that it has taken are accepted, and the tracker tells whether a first request is still expected. Multipath TCP, the default of Go's listeners, takes no filters, so listeners are of plain TCP. The fleet of the sessions keeps the thread that starts a process until its end, as the kernel kills the process with it, and an error of a signal shows how a process ended.

Seen failing first: TestListenerCutsNobody without Quiesce (resets in each of 2 runs), TestListenerCutsNoWaitingConnection without the wait for first requests.

--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -33,14 +33,15 @@
 	crowded atomic.Bool
 	most    int // descriptors of the process
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time // since when
-	open int
+	mu    sync.Mutex
+	fresh map[net.Conn]time.Time // since when, of those without a request yet
+	idle  map[net.Conn]time.Time // since when
+	open  int
 }
 
 // NewTracker returns a Tracker for a process with a number of descriptors.
 func NewTracker(descriptors int) *Tracker {
-	return &Tracker{idle: make(map[net.Conn]time.Time), most: descriptors}
+	return &Tracker{fresh: make(map[net.Conn]time.Time), idle: make(map[net.Conn]time.Time), most: descriptors}
 }
 
 // Descriptors returns the number of descriptors that the process may have.
@@ -57,9 +58,11 @@
 func (t *Tracker) Note(now time.Time, conn net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.fresh, conn)
 	switch state {
 	case http.StateNew:
 		t.open++
+		t.fresh[conn] = now
 		t.idle[conn] = now
 	case http.StateIdle:
 		t.idle[conn] = now
@@ -78,6 +81,23 @@
 	return t.crowded.Load()
 }
 
+// freshTime is how long after a connection was opened its first request is
+// expected: some round trips to a distant caller.
+const freshTime = 500 * time.Millisecond
+
+// Expecting reports whether a first request is expected on a connection. A
+// server that shuts down closes such a connection even if the request is there.
+func (t *Tracker) Expecting(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, since := range t.fresh {
+		if now.Sub(since) < freshTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Open returns the number of open connections.
 func (t *Tracker) Open() int {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/conn/conns/listener_test.go
@@ -0,0 +1,140 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestListenerCutsNoWaitingConnection ends a server while connections wait to
+// be accepted and others are being opened: each that was opened is answered.
+func TestListenerCutsNoWaitingConnection(t *testing.T) {
+	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	const waiting = 20
+	var opened []net.Conn
+	for range waiting {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		opened = append(opened, conn)
+	}
+	tracker := NewTracker(1000)
+	server := trackedServer(tracker)
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = server.Serve(l) })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	assert.NilError(t, l.Quiesce(ctx))
+	for _, conn := range opened {
+		_, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	awaitExpected(tracker)
+	assert.NilError(t, server.Shutdown(ctx))
+	serving.Wait()
+	for _, conn := range opened {
+		answer, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Check(t, len(answer) > 0)
+		assert.NilError(t, conn.Close())
+	}
+}
+
+// TestQuiesceTakesNoMore checks that connections that are opened after Quiesce
+// are not taken, so that closing the listener cannot cut them.
+func TestQuiesceTakesNoMore(t *testing.T) {
+	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	accepted := make(chan net.Conn, 8)
+	var accepting sync.WaitGroup
+	accepting.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	})
+	assert.NilError(t, l.Quiesce(t.Context()))
+	dialed := make(chan error, 8)
+	for range cap(dialed) {
+		go func() {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err == nil {
+				_ = conn.Close()
+			}
+			dialed <- err
+		}()
+	}
+	time.Sleep(10 * time.Millisecond)
+	assert.NilError(t, l.Close())
+	accepting.Wait()
+	for range cap(dialed) {
+		assert.ErrorContains(t, <-dialed, "refused")
+	}
+	assert.Equal(t, len(accepted), 0)
+}
+
+// TestListenerCutsNobody closes servers while callers come and come: each caller
+// has a whole answer or finds the listener closed.
+func TestListenerCutsNobody(t *testing.T) {
+	for range 3 {
+		l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+		assert.NilError(t, err)
+		tracker := NewTracker(1000)
+		server := trackedServer(tracker)
+		var serving, calling sync.WaitGroup
+		serving.Go(func() { _ = server.Serve(l) })
+		for range 16 {
+			calling.Go(func() { callUntilRefused(t, l.Addr().String()) })
+		}
+		time.Sleep(5 * time.Millisecond)
+		assert.NilError(t, l.Quiesce(t.Context()))
+		awaitExpected(tracker)
+		assert.NilError(t, server.Shutdown(t.Context()))
+		serving.Wait()
+		calling.Wait()
+	}
+}
+
+// trackedServer returns a server that closes each connection after its answer.
+func trackedServer(tracker *Tracker) *http.Server {
+	return &http.Server{
+		ConnState: func(conn net.Conn, state http.ConnState) { tracker.Note(time.Now(), conn, state) },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			_, _ = io.WriteString(w, "whole")
+		}),
+	}
+}
+
+func awaitExpected(tracker *Tracker) {
+	for tracker.Expecting(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func callUntilRefused(t *testing.T, address string) {
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			assert.Check(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
+			return
+		}
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: any\r\n\r\n")
+		assert.Check(t, err == nil, "%v", err)
+		answer, err := io.ReadAll(conn)
+		assert.Check(t, err == nil && len(answer) > 0, "cut: %v", err)
+		_ = conn.Close()
+	}
+}
--- a/internal/fakes/procs/fleet.go
+++ b/internal/fakes/procs/fleet.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"time"
@@ -98,20 +100,44 @@
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		return trace.Wrap(err)
-	}
 	p.done = make(chan struct{})
-	go func(cmd *exec.Cmd, done chan struct{}) {
+	started := make(chan error)
+	go run(p.cmd, started, p.done)
+	return trace.Wrap(<-started)
+}
+
+// run starts a process and waits for its end, both on one thread: the process
+// is killed when the thread that started it ends.
+func run(cmd *exec.Cmd, started chan<- error, done chan<- struct{}) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	defer close(done)
+	err := cmd.Start()
+	started <- err
+	if err == nil {
 		_ = cmd.Wait()
-		close(done)
-	}(p.cmd, p.done)
-	return nil
+	}
 }
 
-// Signal sends a signal.
+// Signal sends a signal. An error says how a process that has ended did so.
 func (p *Process) Signal(signal syscall.Signal) error {
-	return trace.Wrap(p.cmd.Process.Signal(signal))
+	err := p.cmd.Process.Signal(signal)
+	if errors.Is(err, os.ErrProcessDone) {
+		<-p.done
+		return trace.Wrap(err, "%v, last lines of its log:\n%s", p.cmd.ProcessState, p.lastLines())
+	}
+	return trace.Wrap(err)
+}
+
+// logShown is the number of bytes of a log that an error shows.
+const logShown = 4096
+
+func (p *Process) lastLines() string {
+	data, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-logShown):])
 }
 
 // Kill ends the process at once and waits for its end.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -316,7 +316,7 @@
 	}
 	for _, s := range servers {
 		if s.drains {
-			if err := s.http.Shutdown(drainCtx); err != nil {
+			if err := n.shutdownServer(drainCtx, s); err != nil {
 				n.log.Warn().Err(err).Int("InFlight", n.relay.InFlight()).Msg("requests were still in flight at the end of the drain time")
 			}
 		}
@@ -325,6 +325,18 @@
 	n.agent.Spread(ctx, []member.Record{n.table.Leave(time.Now())})
 }
 
+// shutdownServer takes no more connections of callers, serves the first requests
+// of those that it has, and waits for the requests in flight.
+func (n *Node) shutdownServer(ctx context.Context, s *server) error {
+	if err := s.listener.Quiesce(ctx); err != nil {
+		n.log.Info().Err(err).Msg("connections that wait to be accepted may be cut")
+	}
+	for n.conns.Expecting(time.Now()) && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+	return trace.Wrap(s.http.Shutdown(ctx))
+}
+
 // awaitIdle waits until no request is in flight.
 func (n *Node) awaitIdle(ctx context.Context) {
 	for n.relay.InFlight() > 0 && ctx.Err() == nil {
@@ -374,7 +386,7 @@
 type server struct {
 	drains   bool // waits for requests in flight when the node leaves
 	http     *http.Server
-	listener net.Listener
+	listener *conns.Listener
 }
 
 func (s *server) serve() {
@@ -400,7 +412,7 @@
 		if !l.address.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := conns.Listen(n.ctx, l.address)
 		if err != nil {
 			errs = append(errs, err)
 			continue
