Ask callers that are over their customer's rate back one after the other

Change: a node asks them back in the order in which they were refused, as fast as it admits the customer's requests, and at random beyond a second.

Each caller is told truly when there may be room for it.

--- a/internal/process/quota/cache.go
+++ b/internal/process/quota/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	// maxEmpty bounds how long a node takes an allocator's word that no token
 	// is left.
 	maxEmpty = 250 * time.Millisecond
+	// maxReturn bounds the time after which a caller that was refused is asked
+	// back. Few callers wait for longer than this for all of an answer.
+	maxReturn = time.Second
 	// maxWaiting bounds the requests of one key that wait for a token.
 	maxWaiting = 4
 	// minDemand is the demand, in requests a second, below which no tokens are
@@ -39,12 +43,14 @@
 
 // account holds the tokens of a key.
 type account struct {
+	admitted   float64 // requests a second
 	asking     bool
 	demand     float64 // requests a second
 	emptyUntil time.Time
 	ends       time.Time
 	inTransit  map[string][]uint64 // Asks for use at once under way, by zone
 	limit      Limit
+	returnAt   time.Time // of the next caller that is refused
 	term       uint64
 	tokens     int
 	updated    time.Time
@@ -72,9 +78,40 @@
 		return false
 	}
 	a.tokens--
+	a.admitted += 1 / demandTime.Seconds()
 	return true
 }
 
+// Admitted takes in that a request uses a token that was granted for use at
+// once.
+func (p *Cache) Admitted(now time.Time, key Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account(now, key).admitted += 1 / demandTime.Seconds()
+}
+
+// Return returns the time after which a caller that finds no token should come
+// back, where the next token is there after a wait. Callers are asked back one
+// after the other, in the order in which they were refused and as fast as the
+// node's requests are admitted: if all came for the next token, all but one would
+// be refused again. Those that cannot be told apart any more within the bound
+// come back at random.
+func (p *Cache) Return(now time.Time, key Key, wait time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(now, key)
+	at := now.Add(wait)
+	if a.returnAt.After(at) {
+		at = a.returnAt
+	}
+	after := at.Sub(now)
+	if after > maxReturn {
+		return max(wait, maxReturn/2+rand.N(maxReturn/2))
+	}
+	a.returnAt = at.Add(time.Duration(float64(time.Second) / max(a.admitted, 1/maxReturn.Seconds())))
+	return after
+}
+
 // EmptyFor returns how long there will be no token, as far as allocators said.
 func (p *Cache) EmptyFor(now time.Time, key Key) time.Duration {
 	p.mu.Lock()
@@ -200,7 +237,9 @@
 		p.accounts[key] = a
 	}
 	if elapsed := now.Sub(a.updated); elapsed > 0 {
-		a.demand *= math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+		fade := math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+		a.admitted *= fade
+		a.demand *= fade
 		a.updated = now
 	}
 	return a
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -89,14 +89,21 @@
 		return nil
 	}
 	refusal := c.askAll(ctx, now, key, limit)
-	if refusal == nil || refusal.RetryAfter > patience || !c.cache.Queue(key) {
-		return refusal
+	if refusal != nil && refusal.RetryAfter <= patience && c.cache.Queue(key) {
+		defer c.cache.Unqueue(key)
+		if pause.For(ctx, refusal.RetryAfter) == nil {
+			refusal = c.askAll(ctx, time.Now(), key, limit)
+		}
+	}
+	now = time.Now()
+	if refusal == nil {
+		c.cache.Admitted(now, key)
+		return nil
 	}
-	defer c.cache.Unqueue(key)
-	if pause.For(ctx, refusal.RetryAfter) != nil {
-		return refusal
+	if refusal.Cause == refuse.RateExceeded {
+		refusal.RetryAfter = c.cache.Return(now, key, refusal.RetryAfter)
 	}
-	return c.askAll(ctx, time.Now(), key, limit)
+	return refusal
 }
 
 // askAll asks the allocators of all availability zones in turn, the own one
