Spread the retries to a service over the time that they are bounded for

Change: three tenths of the retries of a window may be made at once, the others as time passes or as earlier ones leave the window. TestRatioSpreads, TestRatio.

--- a/internal/request/chain/chain_test.go
+++ b/internal/request/chain/chain_test.go
@@ -98,3 +98,34 @@
 	assert.Equal(t, used, ratioSlack/2)
 	assert.Check(t, r.Retry(now, "ledger", 0))
 }
+
+// TestRatioSpreads answers the pattern of a service that turns half of its requests
+// away for long: retries are left for all of that time, and for those for which a
+// part is kept.
+func TestRatioSpreads(t *testing.T) {
+	r := NewRatios()
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		now = now.Add(RatioWindow / 1000)
+		for range 10 {
+			r.First(now, "ledger")
+		}
+	}
+	const allowed = 10000*ratioPart + ratioSlack
+	var used []int // in each second
+	for range 8 {
+		n := 0
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			for r.Retry(now, "ledger", 0.15) {
+				n++
+			}
+		}
+		used = append(used, n)
+		assert.Check(t, r.Retry(now, "ledger", 0), "some are kept")
+	}
+	assert.Check(t, float64(used[0]) <= allowed*(burstPart+0.1), "%v", used)
+	for _, n := range used {
+		assert.Check(t, float64(n) >= allowed*0.05, "%v", used)
+	}
+}
--- a/internal/request/chain/ratio.go
+++ b/internal/request/chain/ratio.go
@@ -19,6 +19,15 @@
 	RatioWindow = 10 * time.Second
 )
 
+// Retries are spread over the window, so that a service that turns requests away
+// for long does not use them up in its first seconds: burstPart of those that a
+// window allows, or burstLeast, may be made at once, and the others as time passes
+// or as earlier ones leave the window.
+const (
+	burstLeast = 10
+	burstPart  = 0.3
+)
+
 // Numbers of buckets. The first tries of a window, of the one before it and of
 // the one between them are looked at, and whichever is most counts: after a fall
 // of demand there are retries for what demand was.
@@ -40,6 +49,8 @@
 // counts are the tries of a service in steps of time, the latest first.
 type counts struct {
 	firsts, retries [keptSteps]int
+	debt            float64 // retries that time has not made up for yet
+	debtAt          time.Time
 	step            int64 // of the latest
 }
 
@@ -70,16 +81,41 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.counts(now, service)
-	allowed := r.part*float64(c.mostFirsts()) + r.slack
-	// The window may begin within the oldest step.
-	used := sum(c.retries[:windowSteps+1])
-	if float64(used+1) > allowed*(1-leave) {
+	allowed := r.allowed(c)
+	most := atOnce(allowed)
+	c.pay(now, allowed)
+	if float64(c.used()+1) > allowed || c.debt+1 > most*(1-leave) {
 		return false
 	}
 	c.retries[0]++
+	c.debt++
 	return true
 }
 
+// allowed returns the number of retries that a window allows.
+func (r *Ratios) allowed(c *counts) float64 {
+	return r.part*float64(c.mostFirsts()) + r.slack
+}
+
+// atOnce returns the number of retries that may be made at once, where a window
+// allows a number of them.
+func atOnce(allowed float64) float64 {
+	return max(allowed*burstPart, min(allowed, burstLeast))
+}
+
+// pay takes off the debt what the time since the last call makes up for.
+func (c *counts) pay(now time.Time, allowed float64) {
+	if elapsed := now.Sub(c.debtAt); elapsed > 0 {
+		c.debt = max(c.debt-allowed*(1-burstPart)*elapsed.Seconds()/RatioWindow.Seconds(), 0)
+		c.debtAt = now
+	}
+}
+
+// used returns the retries of the window, which may begin within the oldest step.
+func (c *counts) used() int {
+	return sum(c.retries[:windowSteps+1])
+}
+
 // counts returns the counts of a service, moved on to now.
 func (r *Ratios) counts(now time.Time, service string) *counts {
 	step := now.UnixNano() / int64(ratioStep)
@@ -90,6 +126,8 @@
 	}
 	if passed := step - c.step; passed > 0 {
 		c.step = step
+		left := windowSteps + 1 - int(min(passed, int64(windowSteps+1)))
+		c.debt = max(c.debt-float64(sum(c.retries[left:windowSteps+1])), 0)
 		shift(&c.firsts, passed)
 		shift(&c.retries, passed)
 	}
