Use connections that rested with care

Cause: on the grown sites upstreams forget connections that rested for a third of a second; what is sent on one is reset, and a transfer is lost by it.

Change: a request that must not run twice uses a connection that rested for at most 0.1 s. A connection that ended before any part of an answer came shortens the rest of others to its address for ten seconds, and an idempotent request is sent again on a new one, within the retries, if the upstream has not crashed.

TestPoolLearnsRests.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -13,6 +13,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	rested  time.Duration // before it was used; 0 for a new connection
 	usedAt  time.Time
 	writer  *bufio.Writer
 	written bool
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -17,6 +17,7 @@
 	call     *Call
 	conn     *conn
 	goAhead  *gate
+	heard    bool // whether a part of an answer came
 	pool     *Pool
 	response *http.Response
 	stop     func() bool
@@ -35,6 +36,10 @@
 		if err := e.bound(); err != nil {
 			return nil, err
 		}
+		if _, err := e.conn.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		e.heard = true
 		response, err := http.ReadResponse(e.conn.reader, e.call.Request)
 		if err != nil {
 			return nil, err
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -26,6 +26,11 @@
 	// connections. A connection that is used again answered this recently.
 	maxIdleTime = 3 * time.Second
 	sweepEvery  = time.Second
+	// shortIdleTime is how long connections to an address are not used for longer
+	// than half of the pause after which one of them turned out to be forgotten,
+	// which is at least leastIdleTime.
+	shortIdleTime = 10 * time.Second
+	leastIdleTime = 20 * time.Millisecond
 )
 
 // keepAlive finds connections that went silent within some seconds.
@@ -42,6 +47,9 @@
 // SendError is the error of a request that got no answer.
 type SendError struct {
 	Err error
+	// Forgotten tells that the connection had been used before, and ended before
+	// any part of an answer came: the other side may have forgotten it.
+	Forgotten bool
 	// Sent tells that the other side may have received a part of the request.
 	Sent bool
 }
@@ -71,6 +79,10 @@
 	AwaitContinue bool
 	// Deadline bounds the wait for the whole answer.
 	Deadline time.Time
+	// Fresh bounds the pause since the last use of the connection that is used;
+	// zero means the pool's own bound. The other side may have forgotten a
+	// connection that rested.
+	Fresh time.Duration
 	// Idle bounds each pause within the answer's body.
 	Idle time.Duration
 	// Silence bounds each pause before the answer's head; an interim answer
@@ -90,6 +102,13 @@
 	mu     sync.Mutex
 	closed bool
 	idle   map[netip.AddrPort][]*conn
+	rests  map[netip.AddrPort]rest
+}
+
+// rest bounds the pause between uses of a connection to an address.
+type rest struct {
+	most  time.Duration
+	until time.Time
 }
 
 // Option changes a Pool when it is made.
@@ -100,9 +119,18 @@
 	return func(p *Pool) { p.dialer = dialer }
 }
 
+// WithSource lets the pool's connections come from an address, if it is valid.
+func WithSource(source netip.Addr) Option {
+	return func(p *Pool) {
+		if source.IsValid() {
+			p.dialer = &net.Dialer{KeepAliveConfig: keepAlive, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))}
+		}
+	}
+}
+
 // New returns an empty Pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dialer: &net.Dialer{KeepAliveConfig: keepAlive}, idle: make(map[netip.AddrPort][]*conn)}
+	p := &Pool{dialer: &net.Dialer{KeepAliveConfig: keepAlive}, idle: make(map[netip.AddrPort][]*conn), rests: make(map[netip.AddrPort]rest)}
 	for _, option := range options {
 		option(p)
 	}
@@ -137,24 +165,54 @@
 	response, err := e.run()
 	if err != nil {
 		e.abort()
+		forgotten := false
 		switch {
 		case ctx.Err() != nil:
 			err = ctx.Err()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			p.forget(call.To)
+		case c.rested >= leastIdleTime && !e.heard:
+			forgotten = true
+			p.shorten(time.Now(), call.To, c.rested)
 		}
-		return nil, &SendError{Err: err, Sent: c.written}
+		return nil, &SendError{Err: err, Forgotten: forgotten, Sent: c.written}
 	}
 	return response, nil
 }
 
+// shorten takes in that a connection to an address which had rested for a time
+// was forgotten, so that others are not used that rested for as long.
+func (p *Pool) shorten(now time.Time, to netip.AddrPort, rested time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests[to] = rest{most: max(min(rested, p.longestRest(now, to))/2, leastIdleTime), until: now.Add(shortIdleTime)}
+}
+
+// longestRest returns the longest pause after which a connection to an address is
+// used again. The lock must be held.
+func (p *Pool) longestRest(now time.Time, to netip.AddrPort) time.Duration {
+	r, ok := p.rests[to]
+	switch {
+	case !ok:
+		return maxIdleTime
+	case !now.Before(r.until):
+		delete(p.rests, to)
+		return maxIdleTime
+	}
+	return r.most
+}
+
 func (p *Pool) take(ctx context.Context, now time.Time, call *Call) (*conn, error) {
 	for {
-		c := p.pop(call.To)
+		c, longest := p.pop(now, call.To)
 		if c == nil {
 			break
 		}
-		if now.Sub(c.usedAt) < maxIdleTime && c.quiet() {
+		if call.Fresh > 0 {
+			longest = min(longest, call.Fresh)
+		}
+		if rested := now.Sub(c.usedAt); rested < longest && c.quiet() {
+			c.rested = max(rested, 1)
 			c.written = false
 			return c, nil
 		}
@@ -173,17 +231,19 @@
 	return newConn(nc), nil
 }
 
-func (p *Pool) pop(to netip.AddrPort) *conn {
+// pop returns the connection to an address that was used last, nil for none, and
+// the longest pause after which it may be used again.
+func (p *Pool) pop(now time.Time, to netip.AddrPort) (*conn, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[to]
 	if len(idle) == 0 {
-		return nil
+		return nil, 0
 	}
 	c := idle[len(idle)-1]
 	idle[len(idle)-1] = nil
 	p.idle[to] = idle[:len(idle)-1]
-	return c
+	return c, p.longestRest(now, to)
 }
 
 // forget closes the idle connections to an address. Where one connection went
--- a/internal/conn/pool/pool_test.go
+++ b/internal/conn/pool/pool_test.go
@@ -205,6 +205,37 @@
 	assert.Equal(t, readAll(t, response), "ok\n")
 }
 
+// TestPoolLearnsRests answers the pattern of servers that forget connections which
+// rested: the first call finds out, later ones use a connection only sooner, and
+// calls that must be sent once never use one that rested.
+func TestPoolLearnsRests(t *testing.T) {
+	s := newServer(t, ok, "")
+	p := New()
+	get := func(fresh time.Duration) error {
+		call := s.call(http.MethodGet, nil)
+		call.Fresh = fresh
+		response, err := p.Do(t.Context(), call)
+		if err == nil {
+			readAll(t, response)
+		}
+		return err
+	}
+	const rested = 4 * leastIdleTime
+	assert.NilError(t, get(0))
+	time.Sleep(rested)
+	assert.NilError(t, get(rested/2))
+	time.Sleep(rested)
+	err := get(0)
+	var sendErr *SendError
+	assert.Check(t, errors.As(err, &sendErr) && sendErr.Forgotten && sendErr.Sent, "%v", err)
+	assert.NilError(t, get(0))
+	now := time.Now()
+	assert.Check(t, p.longestRest(now, s.address) < maxIdleTime)
+	time.Sleep(p.longestRest(now, s.address))
+	assert.NilError(t, get(0))
+	assert.Equal(t, p.longestRest(now.Add(shortIdleTime), s.address), maxIdleTime)
+}
+
 // TestPoolHoldsBodyBack checks that a body is not read before the other side
 // asks for it, and never if it answers without.
 func TestPoolHoldsBodyBack(t *testing.T) {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -182,6 +182,11 @@
 	tries := 1
 	for ; ; tries++ {
 		response, verdict, err = p.send(request)
+		if err != nil && p.forgotten(time.Now(), request, err, tries) {
+			ran = true
+			p.relay.Stats.Retries.Add("Forgotten", 1)
+			continue
+		}
 		if err != nil || !p.mayRepeat(time.Now(), request, response, verdict, tries) {
 			break
 		}
@@ -223,6 +228,7 @@
 			return !verdict.Stray
 		},
 		Deadline: p.deadline,
+		Fresh:    p.fresh(),
 		Idle:     p.relay.Idle,
 		Request:  request,
 		Silence:  p.relay.FirstByte,
@@ -232,6 +238,31 @@
 	return response, verdict, err
 }
 
+// freshTime is the longest rest of a connection on which a request is sent that
+// must not run twice. If the upstream has forgotten the connection, such a request
+// is lost, and a new connection takes about a millisecond.
+const freshTime = 100 * time.Millisecond
+
+// fresh returns the longest rest of the connection that the request may use, zero
+// for the pool's own bound.
+func (p *placement) fresh() time.Duration {
+	if p.running.Chain.Idempotent {
+		return 0
+	}
+	return freshTime
+}
+
+// forgotten reports whether a request is sent again because the upstream seems to
+// have forgotten the connection on which it was sent, and has not crashed.
+func (p *placement) forgotten(now time.Time, request *http.Request, err error, tries int) bool {
+	c := &p.running.Chain
+	var sendErr *pool.SendError
+	if !errors.As(err, &sendErr) || !sendErr.Forgotten || !c.Idempotent || request.Body != nil || tries >= maxRepeats || p.ctx.Err() != nil {
+		return false
+	}
+	return listens(p.address) && p.relay.repeats.Retry(now, c.Service, repeatsLeft(c))
+}
+
 // maxRepeats bounds the times that one request is sent to the upstream: of half
 // of the requests turned away, less than one in a hundred is left.
 const maxRepeats = 7
