Send fewer calls to upstreams that fail more of them than others

Cause: an upstream that fails a part of its requests while its health check is good was as loaded as the others and got as many calls.

Change: the part of the calls to a node that failed lately, beyond what the best of its service fail and what chance makes, counts as load. What all fail, such as calls to a service below, moves nothing. A node that got no calls for 4 s is tried again.

--- a/internal/request/relay/balance.go
+++ b/internal/request/relay/balance.go
@@ -22,6 +22,19 @@
 	// spillBelow is the load of a node in the same availability zone above
 	// which nodes in others are considered.
 	spillBelow = 0.9
+	// failAlike is how much more of its calls a node may fail than others and still
+	// count as well as they are: chance makes such differences.
+	failAlike = 0.15
+	// failCost is the load that a node which fails all calls counts for: one that
+	// fails half of its calls where others fail none is as good as full.
+	failCost = 3
+	// failTime is how long the failures of a node count when no call follows, so
+	// that it is tried again, and failWeight the weight of a call in their part.
+	failTime   = 4 * time.Second
+	failWeight = 0.03
+	// failUnknown is the part that a node without calls is taken to fail where
+	// others fail more.
+	failUnknown = 0.3
 	// spillFactor is the part of that load that a node in another availability
 	// zone must be below.
 	spillFactor = 0.8
@@ -43,6 +56,8 @@
 // seen is what is known of a node.
 type seen struct {
 	ejectedUntil time.Time
+	failedPart   float64 // of the calls lately
+	failedAt     time.Time
 	failures     int
 	inFlight     int
 	load         gates.Load
@@ -101,6 +116,30 @@
 	s.loadAt = now
 }
 
+// Result takes in whether a call to a node failed at its upstream.
+func (b *Balance) Result(now time.Time, node netip.AddrPort, failed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.node(node)
+	part, _ := s.failing(now)
+	if failed {
+		part += (1 - part) * failWeight
+	} else {
+		part -= part * failWeight
+	}
+	s.failedPart = part
+	s.failedAt = now
+}
+
+// failing returns the part of the calls to a node that failed lately, or false if
+// there were none.
+func (s *seen) failing(now time.Time) (part float64, known bool) {
+	if s == nil || s.failedAt.IsZero() || now.Sub(s.failedAt) >= failTime {
+		return failUnknown, false
+	}
+	return s.failedPart, true
+}
+
 // Eject passes over a node for a while.
 func (b *Balance) Eject(now time.Time, node netip.AddrPort) {
 	b.mu.Lock()
@@ -121,8 +160,23 @@
 	}
 }
 
+// leastFailing returns the least part of failed calls among nodes. What all of
+// them fail, such as calls to a service below, is no reason to prefer one.
+func (b *Balance) leastFailing(now time.Time, nodes []member.Record) float64 {
+	least := 1.0
+	for i := range nodes {
+		if least == 0 {
+			break
+		}
+		part, _ := b.nodes[nodes[i].Peers].failing(now)
+		least = min(least, part)
+	}
+	return least
+}
+
 // best returns the less loaded of two random nodes that are inside or outside
-// of the node's availability zone.
+// of the node's availability zone. A node that fails more calls than others
+// counts as more loaded.
 func (b *Balance) best(now time.Time, nodes []member.Record, tried []netip.AddrPort, inside bool) (node netip.AddrPort, load float64, ok bool) {
 	var picks [2]netip.AddrPort
 	fit := 0
@@ -141,9 +195,10 @@
 	if fit == 0 {
 		return netip.AddrPort{}, 0, false
 	}
-	node, load = picks[0], b.load(now, picks[0])
+	failing := b.leastFailing(now, nodes)
+	node, load = picks[0], b.load(now, picks[0], failing)
 	if fit > 1 {
-		if other := b.load(now, picks[1]); other < load || (other == load && rand.IntN(2) == 0) {
+		if other := b.load(now, picks[1], failing); other < load || (other == load && rand.IntN(2) == 0) {
 			node, load = picks[1], other
 		}
 	}
@@ -166,8 +221,9 @@
 	return node, fit > 0
 }
 
-// load returns the part of a node's limit that is in use.
-func (b *Balance) load(now time.Time, node netip.AddrPort) float64 {
+// load returns the part of a node's limit that is in use, and what it fails beyond
+// what all fail.
+func (b *Balance) load(now time.Time, node netip.AddrPort, failing float64) float64 {
 	s := b.nodes[node]
 	if s == nil {
 		return 0
@@ -177,7 +233,11 @@
 		inFlight = max(inFlight, s.load.InFlight+s.load.Waiting)
 		limit = max(s.load.Limit, 1)
 	}
-	return float64(inFlight) / float64(limit)
+	load := float64(inFlight) / float64(limit)
+	if part, known := s.failing(now); known {
+		load += failCost * max(part-failing-failAlike, 0)
+	}
+	return load
 }
 
 // isEjected reports whether a node is passed over. One that failed and has not
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -252,13 +252,18 @@
 	s.budget.Return(min(left, part))
 	if refusal != nil {
 		s.relay.balance.End(node)
+		if refusal.Cause == refuse.Shed || refusal.Cause == refuse.UpstreamFailed {
+			s.relay.balance.Result(time.Now(), node, true)
+		}
 		s.noteAttempt(time.Now(), node, &c, refusal)
 		return nil, refusal
 	}
 	finish := a.finish
+	failed := a.response.StatusCode >= http.StatusInternalServerError
 	a.finish = func(whole bool) {
 		finish(whole)
 		s.relay.balance.End(node)
+		s.relay.balance.Result(time.Now(), node, failed || !whole)
 	}
 	return a, nil
 }
