Add a fault soak that runs the real programs as processes

Change: internal/cmds/soak starts the stand-in store, nodes with the users' platform's formats and upstreams (platform/mimic), with forwarders between all of them (internal/fakes/proxy), plays a seeded plan of kills, pauses, graceful stops, cuts, resets, delays, forgotten connections, faults of the store and changes of the configuration, and judges eleven promises by what callers, upstreams and the operator saw. Settings PeersBind and Source let a node stand behind a forwarder.

--- /dev/null
+++ b/internal/cmds/mimic/main.go
@@ -0,0 +1,59 @@
+// Mimic runs a stand-in for an upstream on the users' platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/wasabibend/wasabibend/platform/mimic"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "mimic:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var options mimic.Options
+	flag.TextVar(&options.Address, "address", netip.AddrPort{}, "the `address` at which the node reaches the upstream")
+	flag.TextVar(&options.Callers, "callers", netip.AddrPort{}, "the `address` of the node's listener for calls")
+	flag.StringVar(&options.Host, "host", "", "the `host` of the upstream's calls")
+	journal := flag.String("journal", "", "the `file` that runs are written to")
+	listen := flag.String("listen", "", "the `address` to listen on")
+	flag.Float64Var(&options.Lost, "lost", 0, "the `part` of answers that are lost")
+	flag.TextVar(&options.Reports, "reports", netip.AddrPort{}, "the `address` of the node's listener for reports")
+	flag.StringVar(&options.Service, "service", "", "the `name` of the service")
+	flag.IntVar(&options.Slots, "slots", 40, "the `number` of requests that run at a time")
+	flag.DurationVar(&options.Work, "work", 10*time.Millisecond, "the mean `time` that a request takes")
+	flag.StringVar(&options.Zone, "zone", "", "the `name` of the availability zone")
+	flag.Parse()
+	var err error
+	if options.Journal, err = mimic.OpenJournal(*journal); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	upstream := mimic.NewUpstream(time.Now(), options)
+	server := &http.Server{Addr: *listen, Handler: upstream, ReadHeaderTimeout: 10 * time.Second}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		upstream.Report(ctx)
+		upstream.Leave(context.Background())
+		_ = server.Shutdown(context.Background())
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	<-ended
+	return nil
+}
--- /dev/null
+++ b/internal/cmds/soak/operator.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/pkg/rows"
+	"github.com/wasabibend/wasabibend/platform"
+	"github.com/wasabibend/wasabibend/platform/objs"
+)
+
+// hostName is the host of all routes.
+const hostName = "soak.example"
+
+// Customers. That of the rate asks for several times as much.
+const (
+	customerLimited = "presse"
+	limitedRate     = 30
+	limitedBurst    = 15
+)
+
+// withdrawable is the number of customers whose keys may be withdrawn.
+const withdrawable = 4
+
+// operator writes the configuration. Its lock guards all fields below it.
+type operator struct {
+	store *objs.Client
+
+	mu        sync.Mutex
+	added     []string // routes
+	catalog   rows.Catalog
+	revision  uint64
+	withdrawn map[string]time.Time // keys, with when that was acknowledged
+}
+
+// newOperator returns an operator with the first configuration, not written yet.
+func newOperator(storeURL string) *operator {
+	route := func(name, service string, idempotent, open bool) rows.Route {
+		return rows.Route{
+			Attempts: 3, Host: hostName, Idempotent: idempotent, Importance: 8, Name: name, Objective: 500 * time.Millisecond,
+			Open: open, Prefix: "/" + name + "/", Shares: []rows.Share{{Service: service, Weight: 1}}, Timeout: 2 * time.Second,
+		}
+	}
+	o := &operator{store: objs.New(storeURL), withdrawn: make(map[string]time.Time)}
+	o.catalog = rows.Catalog{
+		Customers: []rows.Customer{{Keys: []string{"key-amis"}, Name: "amis"}, {Burst: limitedBurst, Keys: []string{"key-" + customerLimited}, Name: customerLimited, Rate: limitedRate}},
+		Limits:    rows.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Routes: []rows.Route{
+			route(routeBrowse, "listings", true, false), route(routeTransfer, "ledger", false, false),
+			route(routeLookup, "ledger", true, false), route(routeInner, "ledger", true, true),
+		},
+		Services: []rows.ServiceInfo{{HealthPath: "/healthz", Name: "ledger"}, {HealthPath: "/healthz", Name: "listings"}},
+		Version:  1,
+	}
+	for i := range withdrawable {
+		name := fmt.Sprintf("leaver%d", i)
+		o.catalog.Customers = append(o.catalog.Customers, rows.Customer{Keys: []string{"key-" + name}, Name: name})
+	}
+	return o
+}
+
+// write puts a changed configuration in force. The lock must be held.
+func (o *operator) write(ctx context.Context, next rows.Catalog) error {
+	value, err := platform.EncodeCatalog(&next)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	const key = "config/main"
+	for {
+		revision, err := o.store.Put(ctx, key, value, o.revision)
+		if err == nil {
+			o.catalog, o.revision = next, revision
+			return nil
+		}
+		// The answer may have been lost after the change took effect.
+		if object, getErr := o.store.Get(ctx, key); getErr == nil && object.Version > o.revision {
+			o.catalog, o.revision = next, object.Version
+			return nil
+		}
+		if pauseErr := pause.For(ctx, 100*time.Millisecond); pauseErr != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// next returns a copy of the configuration with the next version.
+func (o *operator) next() rows.Catalog {
+	next := o.catalog
+	next.Customers = slices.Clone(next.Customers)
+	next.Routes = slices.Clone(next.Routes)
+	next.Version += 1 + rand.Uint64N(5)
+	return next
+}
+
+func (o *operator) begin(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.write(ctx, o.catalog)
+}
+
+func (o *operator) addRoute(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := o.next()
+	route := next.Routes[0]
+	route.Name = fmt.Sprintf("added%d", len(o.added))
+	route.Prefix = "/" + route.Name + "/"
+	next.Routes = append(next.Routes, route)
+	if err := o.write(ctx, next); err != nil {
+		return trace.Wrap(err)
+	}
+	o.added = append(o.added, route.Name)
+	return nil
+}
+
+func (o *operator) withdrawKey(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := o.next()
+	i := slices.IndexFunc(next.Customers, func(c rows.Customer) bool { return c.Name != customerLimited && c.Name != "amis" && len(c.Keys) > 0 })
+	if i < 0 {
+		return nil
+	}
+	key := next.Customers[i].Keys[0]
+	next.Customers[i].Keys = nil
+	if err := o.write(ctx, next); err != nil {
+		return trace.Wrap(err)
+	}
+	o.withdrawn[key] = time.Now()
+	return nil
+}
+
+// state returns the routes that were added and the keys that were withdrawn.
+func (o *operator) state() (added []string, withdrawn map[string]time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.added), maps.Clone(o.withdrawn)
+}
--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// WithSource lets the mesh's connections come from an address, if it is valid.
+func WithSource(source netip.Addr) Option {
+	return func(m *Mesh) {
+		if source.IsValid() {
+			WithDialer(&net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))})(m)
+		}
+	}
+}
+
 // NewMesh returns a Mesh whose links end with a context.
 func NewMesh(ctx context.Context, self netip.AddrPort, secret *fleet.Secret, options ...Option) *Mesh {
 	m := &Mesh{
--- a/internal/fakes/procs/fleet.go
+++ b/internal/fakes/procs/fleet.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,11 +13,8 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -34,10 +30,14 @@
 	portLock     = 7999
 	portPeers    = 8001
 	portPlatform = 7000
+	portReady    = 8004
 	portServer   = 9000
 	portUpstream = 8002
 )
 
+// forwarded is what is added to a listener's port for that of its forwarder.
+const forwarded = 100
+
 // Bounds of waiting.
 const (
 	awaitPoll = 50 * time.Millisecond
@@ -75,106 +75,57 @@
 	return h.address(portPeers)
 }
 
-// Server returns the address of the upstream.
-func (h *Host) Server() netip.AddrPort {
-	return h.address(portServer)
-}
-
-// Process is a process that can be ended and started again.
-type Process struct {
-	args []string
-	cmd  *exec.Cmd
-	done chan struct{}
-	log  string
-	path string
+// Reports returns the address of the node's listener for its upstream.
+func (h *Host) Reports() netip.AddrPort {
+	return h.address(portUpstream)
 }
 
-// Start starts the process.
-func (p *Process) Start() error {
-	out, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	defer out.Close()
-	p.cmd = exec.Command(p.path, p.args...)
-	p.cmd.Stdout = out
-	p.cmd.Stderr = out
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	p.done = make(chan struct{})
-	started := make(chan error)
-	go run(p.cmd, started, p.done)
-	return trace.Wrap(<-started)
+// IP returns the address that all listeners of the host share.
+func (h *Host) IP() netip.Addr {
+	return h.ip
 }
 
-// run starts a process and waits for its end, both on one thread: the process
-// is killed when the thread that started it ends.
-func run(cmd *exec.Cmd, started chan<- error, done chan<- struct{}) {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	defer close(done)
-	err := cmd.Start()
-	started <- err
-	if err == nil {
-		_ = cmd.Wait()
-	}
+// Ready returns the address that tells whether the node takes requests.
+func (h *Host) Ready() netip.AddrPort {
+	return h.address(portReady)
 }
 
-// Signal sends a signal. An error says how a process that has ended did so.
-func (p *Process) Signal(signal syscall.Signal) error {
-	err := p.cmd.Process.Signal(signal)
-	if errors.Is(err, os.ErrProcessDone) {
-		<-p.done
-		return trace.Wrap(err, "%v, last lines of its log:\n%s", p.cmd.ProcessState, p.lastLines())
-	}
-	return trace.Wrap(err)
-}
-
-// logShown is the number of bytes of a log that an error shows.
-const logShown = 4096
-
-func (p *Process) lastLines() string {
-	data, err := os.ReadFile(p.log)
-	if err != nil {
-		return err.Error()
-	}
-	return string(data[max(0, len(data)-logShown):])
-}
-
-// Kill ends the process at once and waits for its end.
-func (p *Process) Kill() {
-	if p.cmd != nil {
-		_ = p.cmd.Process.Kill()
-		<-p.done
-	}
+// Server returns the address of the upstream.
+func (h *Host) Server() netip.AddrPort {
+	return h.address(portServer)
 }
 
-// Wait waits for the end of the process and returns its exit code.
-func (p *Process) Wait(limit time.Duration) (int, error) {
-	select {
-	case <-p.done:
-		return p.cmd.ProcessState.ExitCode(), nil
-	case <-time.After(limit):
-		return 0, trace.LimitExceeded("the process did not end within %v", limit)
-	}
+// Forwards are the addresses at which a fleet's processes reach the listeners of a
+// host and the platform, where something stands between them.
+type Forwards struct {
+	Peers, Platform, Server netip.AddrPort
 }
 
-// Pid returns the ID of the process.
-func (p *Process) Pid() int {
-	return p.cmd.Process.Pid
+// Forwards returns the addresses for forwarders to the listeners of a host.
+func (h *Host) Forwards() Forwards {
+	return Forwards{Peers: h.address(portPeers + forwarded), Platform: h.address(portPlatform + forwarded), Server: h.address(portServer + forwarded)}
 }
 
 // Options are the properties of a Fleet.
 type Options struct {
 	// Dir is where settings and logs are written.
 	Dir string
+	// Forwarded tells that the processes reach each other and the platform by the
+	// Forwards of each host.
+	Forwarded bool
 	// Hosts are written as ZONE:SERVICE, with "-" for no upstream.
 	Hosts []string
 	// Programs returns the path of a program: platform, upstream, wasabibend.
 	Programs func(name string) (string, error)
 	// Settings are lines that are added to each node's settings.
 	Settings string
+	// Upstream returns the program and the arguments of a host's upstream, nil for
+	// the stand-in that speaks the product's own interface.
+	Upstream func(host *Host) (program string, args []string)
 	// UpstreamArgs are further arguments of each upstream.
 	UpstreamArgs []string
+	// UsersPlatform lets the nodes speak the users' platform's formats.
+	UsersPlatform bool
 }
 
 // Fleet is a set of processes.
@@ -184,23 +135,24 @@
 	URL      string
 	lock     net.Listener
 	options  Options
+	prefix   [2]byte // of all addresses
 }
 
 // New returns a Fleet whose processes are not started yet, on addresses of its
 // own.
 func New(options Options) (*Fleet, error) {
 	f := &Fleet{options: options}
-	prefix, err := f.claim()
-	if err != nil {
+	var err error
+	if f.prefix, err = f.claim(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, prefix[0], prefix[1], 254}), portPlatform)
+	address := f.PlatformAddress()
 	f.URL = "http://" + address.String()
 	if f.Platform, err = f.process("platform", "platform", "-listen", address.String()); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	for i, spec := range options.Hosts {
-		host, err := f.host(i, spec, prefix)
+		host, err := f.host(i, spec)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -212,12 +164,23 @@
 // Start starts all processes and waits until each node knows all the others
 // and their upstreams.
 func (f *Fleet) Start(ctx context.Context) error {
-	if err := f.Platform.Start(); err != nil {
+	if err := f.StartPlatform(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := f.awaitPlatform(ctx); err != nil {
+	return trace.Wrap(f.StartHosts(ctx))
+}
+
+// StartPlatform starts the platform's stand-in and waits until it answers.
+func (f *Fleet) StartPlatform(ctx context.Context) error {
+	if err := f.Platform.Start(); err != nil {
 		return trace.Wrap(err)
 	}
+	return trace.Wrap(f.awaitPlatform(ctx))
+}
+
+// StartHosts starts the processes of all hosts and waits until each node knows
+// all the others and their upstreams.
+func (f *Fleet) StartHosts(ctx context.Context) error {
 	for _, host := range f.Hosts {
 		if err := host.Node.Start(); err != nil {
 			return trace.Wrap(err)
@@ -355,12 +318,12 @@
 	return [2]byte{}, trace.Wrap(err)
 }
 
-func (f *Fleet) host(i int, spec string, prefix [2]byte) (*Host, error) {
+func (f *Fleet) host(i int, spec string) (*Host, error) {
 	zone, service, ok := strings.Cut(spec, ":")
 	if !ok {
 		return nil, trace.BadParameter("host %q: want ZONE:SERVICE", spec)
 	}
-	host := &Host{Name: fmt.Sprintf("n%d", i+1), Zone: zone, ip: netip.AddrFrom4([4]byte{127, prefix[0], prefix[1], byte(i + 1)})}
+	host := &Host{Name: fmt.Sprintf("n%d", i+1), Service: strings.TrimSuffix(service, "-"), Zone: zone, ip: netip.AddrFrom4([4]byte{127, f.prefix[0], f.prefix[1], byte(i + 1)})}
 	file := filepath.Join(f.options.Dir, host.Name+".ini")
 	if err := os.WriteFile(file, []byte(f.settings(host)), 0o600); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -372,8 +335,12 @@
 	if service == "-" {
 		return host, nil
 	}
-	host.Service = service
-	args := append([]string{"-listen", host.Server().String(), "-node", host.address(portUpstream).String(), "-service", service}, f.options.UpstreamArgs...)
+	if f.options.Upstream != nil {
+		program, args := f.options.Upstream(host)
+		host.Upstream, err = f.process(host.Name+"-upstream", program, args...)
+		return host, trace.Wrap(err)
+	}
+	args := append([]string{"-listen", host.Server().String(), "-node", host.Reports().String(), "-service", service}, f.options.UpstreamArgs...)
 	host.Upstream, err = f.process(host.Name+"-upstream", "upstream", args...)
 	return host, trace.Wrap(err)
 }
@@ -394,19 +361,33 @@
 			zones = append(zones, zone)
 		}
 	}
-	return fmt.Sprintf(`[Node]
-Zone = %s
-[Listen]
-Admin = %v
-Callers = %v
-Peers = %v
-Upstream = %v
-[Platform]
-URL = %s
-[Fleet]
-Secret = a secret that only the fleet knows
-Zones = %s
-%s`, host.Zone, host.Admin(), host.Callers(), host.Peers(), host.address(portUpstream), f.URL, strings.Join(zones, ","), f.options.Settings)
+	var text strings.Builder
+	fmt.Fprintf(&text, "[Node]\nZone = %s\n", host.Zone)
+	if f.options.UsersPlatform {
+		fmt.Fprintf(&text, "Dialect = Platform\nFirstStart = true\nService = %s\n", host.Service)
+	}
+	peers, server, url := host.Peers(), host.Server(), f.URL
+	fmt.Fprintf(&text, "[Listen]\nAdmin = %v\nCallers = %v\nUpstream = %v\n", host.Admin(), host.Callers(), host.Reports())
+	if f.options.Forwarded {
+		forwards := host.Forwards()
+		fmt.Fprintf(&text, "PeersBind = %v\nSource = %v\n", peers, host.ip)
+		peers, server, url = forwards.Peers, forwards.Server, "http://"+forwards.Platform.String()
+	}
+	fmt.Fprintf(&text, "Peers = %v\n", peers)
+	if f.options.UsersPlatform {
+		fmt.Fprintf(&text, "Ready = %v\nServer = %v\n", host.Ready(), server)
+	}
+	fmt.Fprintf(&text, "[Platform]\nURL = %s\n[Fleet]\nZones = %s\n", url, strings.Join(zones, ","))
+	if !f.options.UsersPlatform {
+		text.WriteString("Secret = a secret that only the fleet knows\n")
+	}
+	text.WriteString(f.options.Settings)
+	return text.String()
+}
+
+// PlatformAddress returns the address of the platform's stand-in.
+func (f *Fleet) PlatformAddress() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, f.prefix[0], f.prefix[1], 254}), portPlatform)
 }
 
 func (f *Fleet) awaitPlatform(ctx context.Context) error {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -150,8 +150,8 @@
 		ctx:      ctx,
 		gate:     gates.NewGate(gates.NewGradient()),
 		log:      log,
-		mesh:     links.NewMesh(ctx, settings.Peers, settings.Secret),
-		pool:     pool.New(),
+		mesh:     links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithSource(settings.Source)),
+		pool:     pool.New(pool.WithSource(settings.Source)),
 		shutdown: shutdown,
 		stats:    stats.New(),
 		store:    platform,
@@ -404,7 +404,7 @@
 	}{
 		{n.settings.Load().Admin, false, n.adminHandler()},
 		{n.settings.Load().Callers, true, http.HandlerFunc(n.relay.ServeCaller)},
-		{n.settings.Load().Peers, false, n.peersHandler()},
+		{n.settings.Load().PeersBind, false, n.peersHandler()},
 		{n.settings.Load().Upstream, false, n.upstreamHandler()},
 		{n.settings.Load().Ready, false, n.adminHandler()},
 	}
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -32,6 +32,12 @@
 
 	// Admin, Callers, Peers and Upstream are the addresses of the listeners.
 	Admin, Callers, Peers, Upstream netip.AddrPort
+	// PeersBind is the address to listen on for peers, which is Peers unless others
+	// reach that through a forwarder.
+	PeersBind netip.AddrPort
+	// Source is the address that connections to other nodes and the upstream come
+	// from, if it is valid: for hosts with several.
+	Source netip.Addr
 	// Ready is the address that tells whether the node takes requests, if it is
 	// valid.
 	Ready netip.AddrPort
@@ -135,6 +141,7 @@
 		Join:        r.addresses("Fleet", "Join"),
 		LameDuck:    r.duration("Limits", "LameDuck", 2*time.Second),
 		Peers:       r.address("Listen", "Peers"),
+		PeersBind:   r.optionalAddress("Listen", "PeersBind"),
 		Platform:    r.url("Platform", "URL"),
 		Procs:       r.number("Limits", "Procs", 2, 1, 256),
 		Ready:       r.optionalAddress("Listen", "Ready"),
@@ -144,6 +151,7 @@
 		Server:      r.optionalAddress("Listen", "Server"),
 		Service:     r.text("Node", "Service", false),
 		Shards:      r.number("Fleet", "Shards", 1, 1, 1024),
+		Source:      r.source("Listen", "Source"),
 		Spans:       r.text("Trace", "Spans", false),
 		Upstream:    r.address("Listen", "Upstream"),
 		Zone:        r.text("Node", "Zone", true),
@@ -159,6 +167,9 @@
 	if r.err != nil {
 		return nil, trace.Wrap(r.err)
 	}
+	if !s.PeersBind.IsValid() {
+		s.PeersBind = s.Peers
+	}
 	s.keepGrace()
 	return s, nil
 }
@@ -221,6 +232,19 @@
 	return r.address(section, key)
 }
 
+// source returns an IP address, or one that is not valid if it is missing.
+func (r *reader) source(section, key string) netip.Addr {
+	value := r.text(section, key, false)
+	if value == "" {
+		return netip.Addr{}
+	}
+	address, err := netip.ParseAddr(value)
+	if err != nil {
+		r.fail(section, key, value, "an IP address, as in 127.0.0.1")
+	}
+	return address
+}
+
 func (r *reader) addresses(section, key string) []netip.AddrPort {
 	var all []netip.AddrPort
 	for _, value := range split(r.text(section, key, false)) {
