Wake up idle nodes less often, and let few of them ask a store that is away

A node without work woke up a hundred times a second: the gate's look at waiting requests (50), the loop of leases (25), the log's writer (20). And a node that the store did not answer asked two others of its availability zone to watch at each failure, who did the same, until all of them called.

Change: the gate looks only while requests wait, the loop of leases runs quickly only after a handover, the log is written five times a second, and the connection of an upstream's own call is not looked at first.

--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/pkg/refuse"
 )
 
@@ -23,11 +24,12 @@
 type Gate struct {
 	mu    sync.Mutex
 	queue *Queue
+	wake  chan struct{} // tells Run that a request waits
 }
 
 // NewGate returns a Gate with a Limiter.
 func NewGate(limiter Limiter) *Gate {
-	return &Gate{queue: NewQueue(limiter)}
+	return &Gate{queue: NewQueue(limiter), wake: make(chan struct{}, 1)}
 }
 
 // Enter waits until a request may run. It returns a refusal if it may not.
@@ -43,6 +45,10 @@
 		return nil
 	}
 	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+	select {
 	case admitted := <-t.decided:
 		if admitted {
 			return nil
@@ -79,24 +85,33 @@
 
 // Run looks at waiting requests until the context ends.
 func (g *Gate) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			g.mu.Lock()
-			if g.queue.Waiting() > 0 {
-				runs, refused := g.queue.Next(now)
-				decide(runs, true)
-				decide(refused, false)
+		case <-g.wake:
+		}
+		for g.lookAgain(time.Now()) {
+			if pause.For(ctx, expireEvery) != nil {
+				return
 			}
-			g.mu.Unlock()
 		}
 	}
 }
 
+// lookAgain decides on waiting requests and reports whether any is left.
+func (g *Gate) lookAgain(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.queue.Waiting() == 0 {
+		return false
+	}
+	runs, refused := g.queue.Next(now)
+	decide(runs, true)
+	decide(refused, false)
+	return g.queue.Waiting() > 0
+}
+
 // giveUp ends the wait of a request whose caller left.
 func (g *Gate) giveUp(t *Ticket, after time.Duration) *refuse.Refusal {
 	g.mu.Lock()
--- a/internal/process/logs/logs.go
+++ b/internal/process/logs/logs.go
@@ -17,7 +17,7 @@
 	// the place of those that nobody reads in time.
 	buffered = 1000
 	// flushEvery is how often the lines are written. One write takes many lines.
-	flushEvery = 50 * time.Millisecond
+	flushEvery = 200 * time.Millisecond
 )
 
 // New returns a logger that writes to w in the background until it is closed. A
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +16,6 @@
 
 // Times of the agent.
 const (
-	// askedTime is how long a node watches the platform that was asked to.
-	askedTime = 5 * time.Second
 	// isolatedAfter is how long no node answers until the node takes itself as
 	// cut off from the others.
 	isolatedAfter = 1500 * time.Millisecond
@@ -32,10 +29,6 @@
 // deltaBytes bounds the objects in one answer to a pull.
 const deltaBytes = 256 << 10
 
-// delegates is the number of nodes that are asked to watch the platform by one
-// that it does not answer.
-const delegates = 2
-
 // Mesh carries messages between nodes.
 type Mesh interface {
 	Call(ctx context.Context, to netip.AddrPort, kind wire.Kind, request any, answer wire.Checker) error
@@ -56,7 +49,9 @@
 	wake  chan struct{}
 
 	mu        sync.Mutex
+	askedHops int            // how far the question to watch had come
 	askedTill time.Time      // the node watches the platform for others
+	delegated time.Time      // when others were asked last
 	ahead     netip.AddrPort // a peer with a newer configuration
 	differing map[netip.AddrPort]int
 	heardAt   time.Time // of the last answer to a ping
@@ -206,64 +201,6 @@
 	a.round(ctx)
 }
 
-// Watches reports whether the node is among the first ones of its availability
-// zone, which watch the platform for the others.
-func (a *Agent) Watches(now time.Time, first int) bool {
-	if a.isAsked(now) {
-		return true
-	}
-	self := a.table.Self()
-	for _, r := range a.table.View().Zone(self.Zone, first) {
-		if r.Peers == self.Peers {
-			return true
-		}
-	}
-	return false
-}
-
-// Asked returns a channel that tells when the node is asked to watch.
-func (a *Agent) Asked() <-chan struct{} {
-	return a.asked
-}
-
-func (a *Agent) isAsked(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return now.Before(a.askedTill)
-}
-
-// Delegate asks the next nodes of the availability zone to watch the platform,
-// which does not answer this one.
-func (a *Agent) Delegate(ctx context.Context) {
-	self := a.table.Self()
-	zone := a.table.View().Zone(self.Zone, a.table.View().Size())
-	at := slices.IndexFunc(zone, func(r Record) bool { return r.Peers == self.Peers })
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	var workers conc.WaitGroup
-	for i := 1; i <= min(delegates, len(zone)-1); i++ {
-		peer := zone[(at+i)%len(zone)].Peers
-		workers.Go(func() {
-			if err := a.mesh.Send(ctx, peer, wire.KindWatch, Watch{}); err != nil {
-				a.log.Debug().Err(err).Stringer("Peer", peer).Msg("peer was not asked to watch")
-			}
-		})
-	}
-	workers.Wait()
-}
-
-func (a *Agent) handleWatch(netip.AddrPort, []byte) (any, error) {
-	now := time.Now()
-	a.mu.Lock()
-	a.askedTill = now.Add(askedTime)
-	a.mu.Unlock()
-	select {
-	case a.asked <- struct{}{}:
-	default:
-	}
-	return nil, nil
-}
-
 func (a *Agent) round(ctx context.Context) {
 	var workers conc.WaitGroup
 	for _, peer := range a.table.View().Neighbours(a.table.Self().Peers) {
--- a/internal/process/member/messages.go
+++ b/internal/process/member/messages.go
@@ -61,7 +61,19 @@
 }
 
 // Watch asks a node to watch the platform for a while.
-type Watch struct{}
+type Watch struct {
+	// Hops is the number of nodes that the question has passed and that the
+	// platform does not answer either.
+	Hops int `cbor:",omitempty"`
+}
+
+// Check implements wire.Checker.
+func (w *Watch) Check() error {
+	if w.Hops < 0 {
+		return trace.BadParameter("Hops: want 0 or more")
+	}
+	return nil
+}
 
 // Pull asks for the changes of the configuration after a revision.
 type Pull struct {
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -69,26 +69,27 @@
 	backoff := backoffLeast
 	for ctx.Err() == nil {
 		if now := time.Now(); !n.agent.Watches(now, f.watchers) && !n.agent.Isolated(now) && !stale(now, f) {
-			n.sleepUnlessAsked(ctx)
+			n.sleepUnlessAsked(ctx, followPoll)
 			continue
 		}
 		if err := n.watch(ctx, f); err == nil {
 			backoff = backoffLeast
 			continue
 		}
-		n.agent.Delegate(ctx)
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(backoff*2, backoffMost)
-		if !n.agent.Watches(time.Now(), f.watchers) && !n.agent.Isolated(time.Now()) {
-			zone := len(n.table.View().Zone(n.settings.Load().Zone, 1<<30))
-			sleep(ctx, rand.N(2*max(staleAfter, time.Duration(zone)*perNode)))
+		n.agent.Delegate(ctx, time.Now())
+		if now := time.Now(); n.agent.Watches(now, f.watchers) || n.agent.Isolated(now) {
+			sleep(ctx, backoff/2+rand.N(backoff))
+			backoff = min(backoff*2, backoffMost)
+			continue
 		}
+		zone := len(n.table.View().Zone(n.settings.Load().Zone, 1<<30))
+		n.sleepUnlessAsked(ctx, rand.N(2*max(staleAfter, time.Duration(zone)*perNode)))
 	}
 }
 
-// sleepUnlessAsked waits until the node is asked to watch, or for a short time.
-func (n *Node) sleepUnlessAsked(ctx context.Context) {
-	timer := time.NewTimer(followPoll)
+// sleepUnlessAsked waits until the node is asked to watch, or for a time.
+func (n *Node) sleepUnlessAsked(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -62,14 +62,15 @@
 	Options
 	leases  []*Lease
 	cache   *Cache
-	quickly atomic.Int64 // rounds of the lease loop to make at once
+	hurry   chan struct{} // begins a round of the lease loop
+	quickly atomic.Int64  // rounds of the lease loop to make at once
 	workers conc.WaitGroup
 	zone    int
 }
 
 // NewClient returns a Client and sets its handlers on the mesh.
 func NewClient(now time.Time, options Options) *Client {
-	c := &Client{Options: options, cache: NewCache(now), zone: slices.Index(options.Zones, options.Zone)}
+	c := &Client{Options: options, cache: NewCache(now), hurry: make(chan struct{}, 1), zone: slices.Index(options.Zones, options.Zone)}
 	for range options.Shards {
 		c.leases = append(c.leases, NewLease(now, options.Self))
 	}
--- a/internal/process/quota/keep.go
+++ b/internal/process/quota/keep.go
@@ -20,35 +20,52 @@
 // Run keeps the leases until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	defer c.workers.Wait()
-	ticker := time.NewTicker(leaseInterval / quickRounds)
-	defer ticker.Stop()
-	for tick := 1; ; tick++ {
-		select {
-		case <-ctx.Done():
+	now := time.Now()
+	for round := 1; ; round++ {
+		if !c.awaitRound(ctx, now) {
 			return
-		case now := <-ticker.C:
-			if c.quickly.Add(-1) < 0 && tick%quickRounds != 0 {
-				c.quickly.Store(0)
-				continue
-			}
-			round := tick / quickRounds
-			var shards conc.WaitGroup
-			for shard, lease := range c.leases {
-				shards.Go(func() { c.keep(ctx, now, shard, lease) })
-			}
-			shards.Wait()
-			for _, lease := range c.leases {
-				if a := lease.Allocator(now); a != nil && round%pruneEvery == 0 {
-					a.Prune(now, forgetAccount)
-				}
-			}
-			if round%pruneEvery == 0 {
-				c.cache.Prune(now)
-			}
+		}
+		now = time.Now()
+		var shards conc.WaitGroup
+		for shard, lease := range c.leases {
+			shards.Go(func() { c.keep(ctx, now, shard, lease) })
+		}
+		shards.Wait()
+		if round%pruneEvery == 0 {
+			c.prune(now)
 		}
 	}
 }
 
+// awaitRound waits for the next round of the lease loop after one that began at a
+// time. It is sooner after a handover. It reports false if the context ended.
+func (c *Client) awaitRound(ctx context.Context, begun time.Time) bool {
+	interval := leaseInterval
+	if c.quickly.Load() > 0 {
+		c.quickly.Add(-1)
+		interval /= quickRounds
+	}
+	timer := time.NewTimer(time.Until(begun.Add(interval)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.hurry:
+	case <-timer.C:
+	}
+	return true
+}
+
+// prune forgets what was not used for long.
+func (c *Client) prune(now time.Time) {
+	for _, lease := range c.leases {
+		if a := lease.Allocator(now); a != nil {
+			a.Prune(now, forgetAccount)
+		}
+	}
+	c.cache.Prune(now)
+}
+
 // Leave hands the allocators that the node holds to other nodes. While the
 // platform does not answer it goes on dealing, as nobody could take over.
 func (c *Client) Leave(ctx context.Context) {
@@ -123,6 +140,10 @@
 	}
 	c.leases[state.Shard].Receive(time.Now(), &state)
 	c.quickly.Store(quickTime)
+	select {
+	case c.hurry <- struct{}{}:
+	default:
+	}
 	return promised{OK: true}, nil
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -219,9 +219,6 @@
 	if r.leaving.Load() || r.Conns != nil && r.Conns.Crowded() {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	if gone(req.Context()) {
-		panic(http.ErrAbortHandler)
-	}
 	id := r.Dialect.ID(req.Header)
 	terms, refusal := r.Dialect.Terms(req)
 	if refusal != nil {
@@ -233,6 +230,10 @@
 		r.turnAway(w, id, &p, refusal)
 		return
 	}
+	// A call of the upstream was sent a moment ago, on a connection of its own.
+	if !p.inner && gone(req.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if r.ended.Load() && !p.inner {
 		r.turnAway(w, id, &p, refuse.New(refuse.Draining, graceRetry, "the node is about to end"))
 		return
