--- a/internal/cmds/soak/world.go
+++ b/internal/cmds/soak/world.go
@@ -156,7 +156,7 @@
 	}
 	switch e.Fault {
 	case KillNode, PauseNode, StopNode, KillUpstream, LeaveUpstream:
-		return w.disturb(e, host)
+		return w.disturb(ctx, e, host)
 	case DelayNode:
 		hold(l.peers, proxy.Fault{Delay: 20 * time.Millisecond})
 	case ResetNode:
@@ -191,12 +191,12 @@
 
 // disturb sends signals to a process of a host. Events at one host wait for each
 // other.
-func (w *world) disturb(e Event, host *procs.Host) error {
+func (w *world) disturb(ctx context.Context, e Event, host *procs.Host) error {
 	w.busy[e.Host] <- struct{}{}
 	defer func() { <-w.busy[e.Host] }()
-	process := host.Node
+	process, address := host.Node, host.Callers()
 	if e.Fault == KillUpstream || e.Fault == LeaveUpstream {
-		process = host.Upstream
+		process, address = host.Upstream, host.Server()
 	}
 	switch e.Fault {
 	case PauseNode:
@@ -206,6 +206,10 @@
 		time.Sleep(e.For)
 		return trace.Wrap(process.Signal(resume))
 	case StopNode, LeaveUpstream:
+		// A process that has just started is ended at once by a signal.
+		if err := procs.AwaitListening(ctx, address); err != nil {
+			return trace.Wrap(err)
+		}
 		if err := process.Signal(terminate); err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/fakes/procs/fleet.go
+++ b/internal/fakes/procs/fleet.go
@@ -305,6 +305,17 @@
 	}
 }
 
+// AwaitListening waits until a process takes connections at an address.
+func AwaitListening(ctx context.Context, address netip.AddrPort) error {
+	return Await(ctx, func() error {
+		conn, err := net.Dial("tcp", address.String())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(conn.Close())
+	})
+}
+
 // claim finds addresses that no other fleet on the machine uses.
 func (f *Fleet) claim() ([2]byte, error) {
 	var err error
