Give the secret to nodes that start while the store is away

Ruled out: a secret made of the settings, which many know, and a copy on the host, which has no disk.

Change: two nodes of its zone look for a node that went within the last minute and give it the secret; it joins there and gets the configuration from its peers. The upstream beside a node that stops takes calls for 0.92 of the lame-duck time instead of 0.75.

Seen failing first: TestStartWithoutStore, 503 until the store was back. After: a node that was stopped gracefully and one that was killed both serve with the store down.

--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -83,7 +83,7 @@
 
 // freshTime is how long after a connection was opened its first request is
 // expected: some round trips to a distant caller.
-const freshTime = 500 * time.Millisecond
+const freshTime = 200 * time.Millisecond
 
 // Expecting reports whether a first request is expected on a connection. A
 // server that shuts down closes such a connection even if the request is there.
--- a/internal/conn/fleet/fleet.go
+++ b/internal/conn/fleet/fleet.go
@@ -42,6 +42,15 @@
 	return s.secret.Load() != nil
 }
 
+// Text returns the secret, empty while it is not known.
+func (s *Secret) Text() string {
+	secret := s.secret.Load()
+	if secret == nil {
+		return ""
+	}
+	return string(*secret)
+}
+
 // Proof returns the proof to send to the node at an address, empty while the
 // secret is not known.
 func (s *Secret) Proof(to netip.AddrPort) string {
--- a/internal/fakes/procs/fleet.go
+++ b/internal/fakes/procs/fleet.go
@@ -375,7 +375,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "[Node]\nZone = %s\n", host.Zone)
 	if f.options.UsersPlatform {
-		fmt.Fprintf(&text, "Dialect = Platform\nFirstStart = true\nService = %s\n", host.Service)
+		fmt.Fprintf(&text, "Dialect = Platform\nService = %s\n", host.Service)
 	}
 	peers, server, url := host.Peers(), host.Server(), f.URL
 	fmt.Fprintf(&text, "[Listen]\nAdmin = %v\nCallers = %v\nUpstream = %v\n", host.Admin(), host.Callers(), host.Reports())
--- a/internal/process/member/table.go
+++ b/internal/process/member/table.go
@@ -106,6 +106,20 @@
 	return t.self
 }
 
+// Gone returns the records of nodes of an availability zone that went within a
+// time.
+func (t *Table) Gone(now time.Time, zone string, within time.Duration) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var gone []Record
+	for _, e := range t.records {
+		if e.record.Health == Dead && e.record.Zone == zone && now.Sub(e.since) < within && e.record.Peers != t.self.Peers {
+			gone = append(gone, e.record)
+		}
+	}
+	return gone
+}
+
 // Merge takes in records and returns those that were news. A record that
 // claims the node itself to be suspected, dead or older is refuted by a higher
 // incarnation.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -51,32 +51,33 @@
 
 // upstreamPart is the part of the lame-duck time in which the upstream beside a
 // node that stops goes on taking calls.
-const upstreamPart = 0.75
+const upstreamPart = 0.92
 
 // Node is one process of the system.
 type Node struct {
-	agent    *member.Agent
-	cancel   context.CancelFunc
-	claims   *claims.Client
-	config   *snaps.Holder
-	conns    *conns.Tracker // of callers
-	catalog  *snaps.Holder  // nil for a configuration by the table
-	crashes  *crash.Agent
-	ctx      context.Context // ends all work of the node
-	dialect  relay.Dialect   // nil for the product's own
-	feeds    []feed
-	leaving  atomic.Bool
-	gate     *gates.Gate
-	log      zerolog.Logger
-	mesh     *links.Mesh
-	notes    *relay.Notes
-	pool     *pool.Pool
-	quota    *quota.Client
-	relay    *relay.Relay
-	settings atomic.Pointer[setup.Settings]
-	shutdown func(context.Context) error
-	stats    *stats.Stats
-	store    store.Store
+	agent      *member.Agent
+	background conc.WaitGroup // work that requests of other nodes begin
+	cancel     context.CancelFunc
+	claims     *claims.Client
+	config     *snaps.Holder
+	conns      *conns.Tracker // of callers
+	catalog    *snaps.Holder  // nil for a configuration by the table
+	crashes    *crash.Agent
+	ctx        context.Context // ends all work of the node
+	dialect    relay.Dialect   // nil for the product's own
+	feeds      []feed
+	leaving    atomic.Bool
+	gate       *gates.Gate
+	log        zerolog.Logger
+	mesh       *links.Mesh
+	notes      *relay.Notes
+	pool       *pool.Pool
+	quota      *quota.Client
+	relay      *relay.Relay
+	settings   atomic.Pointer[setup.Settings]
+	shutdown   func(context.Context) error
+	stats      *stats.Stats
+	store      store.Store
 	// storeLost tells that the last call to the platform's store failed.
 	storeLost atomic.Bool
 	table     *member.Table
@@ -88,6 +89,7 @@
 	catalogPrefix     string
 	probe             Probe // nil for none
 	readyPath         string
+	secretStored      bool                     // in the platform's store, and in no setting
 	upstreamInterface func(*Node) http.Handler // nil for the product's own
 }
 
@@ -159,6 +161,7 @@
 		version:  version,
 	}
 	n.settings.Store(settings)
+	n.secretStored = !settings.Secret.Known()
 	for _, option := range options {
 		option(n)
 	}
@@ -268,7 +271,7 @@
 	for _, s := range servers {
 		workers.Go(s.serve)
 	}
-	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.probeUpstream, n.prune, n.quota.Run, n.reapConns, n.reportNotes, n.seed, n.watchUpstream} {
+	for _, loop := range []func(context.Context){n.adopt, n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.keepRetryBounds, n.pool.Run, n.probeUpstream, n.prune, n.quota.Run, n.reapConns, n.reportNotes, n.seed, n.watchUpstream} {
 		workers.Go(func() { loop(n.ctx) })
 	}
 	n.log.Info().Stringer("Callers", n.settings.Load().Callers).Stringer("Peers", n.settings.Load().Peers).Msg("node serves")
@@ -279,6 +282,7 @@
 		_ = s.http.Close()
 	}
 	workers.Wait()
+	n.background.Wait()
 	n.claims.Wait()
 	n.mesh.Wait()
 	n.log.Info().Msg("node stopped")
@@ -440,6 +444,7 @@
 func (n *Node) peersHandler() http.Handler {
 	router := httprouter.New()
 	router.Handler(http.MethodGet, links.Path, n.mesh)
+	router.POST(pathAdopt, n.handleAdopt)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, relay.PathCall+"/") {
 			n.relay.ServePeer(w, r)
