Leave calls whose caller left out of an upstream's failures

Cause, found on reading the diff: a caller that leaves ends its call before the answer is whole, and that counted as a failure of the upstream.

--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -263,7 +263,10 @@
 	a.finish = func(whole bool) {
 		finish(whole)
 		s.relay.balance.End(node)
-		s.relay.balance.Result(time.Now(), node, failed || !whole)
+		// A caller that leaves says nothing of the upstream.
+		if whole || s.ctx.Err() == nil {
+			s.relay.balance.Result(time.Now(), node, failed || !whole)
+		}
 	}
 	return a, nil
 }
