Ask callers over their rate back within what is useful to them

Change: the time is within 0.45 of the route's objective, as for other refusals, and not before the next token.

--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -207,6 +207,12 @@
 // backUnknown is when a caller of a route without an objective should come back.
 const backUnknown = time.Second
 
+// BackWithin returns the time within which coming back is useful to a caller of a
+// route with an objective, 0 for unknown.
+func BackWithin(objective time.Duration) time.Duration {
+	return time.Duration(backMost * float64(objective))
+}
+
 func comeBack(objective time.Duration) time.Duration {
 	if objective <= 0 {
 		objective = backUnknown
--- a/internal/process/quota/cache.go
+++ b/internal/process/quota/cache.go
@@ -94,9 +94,9 @@
 // back, where the next token is there after a wait. Callers are asked back one
 // after the other, in the order in which they were refused and as fast as the
 // node's requests are admitted: if all came for the next token, all but one would
-// be refused again. Those that cannot be told apart any more within the bound
-// come back at random.
-func (p *Cache) Return(now time.Time, key Key, wait time.Duration) time.Duration {
+// be refused again. Those that cannot be told apart any more within the time in
+// which coming back is useful, 0 for any, come back at random.
+func (p *Cache) Return(now time.Time, key Key, wait, within time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.account(now, key)
@@ -104,9 +104,13 @@
 	if a.returnAt.After(at) {
 		at = a.returnAt
 	}
+	most := maxReturn
+	if within > 0 {
+		most = min(most, within)
+	}
 	after := at.Sub(now)
-	if after > maxReturn {
-		return max(wait, maxReturn/2+rand.N(maxReturn/2))
+	if after > most {
+		return max(wait, most/2+rand.N(most/2+1))
 	}
 	a.returnAt = at.Add(time.Duration(float64(time.Second) / max(a.admitted, 1/maxReturn.Seconds())))
 	return after
--- a/internal/process/quota/cache_test.go
+++ b/internal/process/quota/cache_test.go
@@ -23,7 +23,7 @@
 	var returns []time.Time
 	for range 10 {
 		now = now.Add(time.Millisecond)
-		returns = append(returns, now.Add(cache.Return(now, key, 10*time.Millisecond)))
+		returns = append(returns, now.Add(cache.Return(now, key, 10*time.Millisecond, 0)))
 	}
 	assert.Check(t, slices.IsSortedFunc(returns, time.Time.Compare))
 	for i := 1; i < len(returns); i++ {
@@ -31,9 +31,13 @@
 		assert.Check(t, gap >= time.Second/rate*9/10 && gap <= time.Second/rate*3/2, "%v", gap)
 	}
 	for range 1000 {
-		after := cache.Return(now, key, 10*time.Millisecond)
+		after := cache.Return(now, key, 10*time.Millisecond, 0)
 		assert.Check(t, after <= maxReturn && after > 0, "%v", after)
 	}
-	assert.Equal(t, cache.Return(now.Add(time.Minute), key, 10*time.Millisecond), 10*time.Millisecond)
-	assert.Equal(t, cache.Return(now.Add(time.Minute), key, 3*time.Second), 3*time.Second, "the token is there no sooner")
+	assert.Equal(t, cache.Return(now.Add(time.Minute), key, 10*time.Millisecond, 0), 10*time.Millisecond)
+	for range 100 {
+		after := cache.Return(now, key, 10*time.Millisecond, 50*time.Millisecond)
+		assert.Check(t, after <= 50*time.Millisecond, "later is of no use to the caller: %v", after)
+	}
+	assert.Equal(t, cache.Return(now.Add(time.Minute), key, 3*time.Second, 50*time.Millisecond), 3*time.Second, "the token is there no sooner")
 }
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -82,9 +82,9 @@
 }
 
 // Admit uses one token of a key. If there is none, it returns a refusal with
-// the time after which to ask again. A few requests wait for a token that comes
-// soon.
-func (c *Client) Admit(ctx context.Context, now time.Time, key Key, limit Limit) *refuse.Refusal {
+// the time after which to ask again, which is useful to its caller within a time,
+// 0 for any. A few requests wait for a token that comes soon.
+func (c *Client) Admit(ctx context.Context, now time.Time, key Key, limit Limit, within time.Duration) *refuse.Refusal {
 	if c.cache.Take(now, key, limit) {
 		c.askAhead(ctx, now, key)
 		return nil
@@ -102,7 +102,7 @@
 		return nil
 	}
 	if refusal.Cause == refuse.RateExceeded {
-		refusal.RetryAfter = c.cache.Return(now, key, refusal.RetryAfter)
+		refusal.RetryAfter = c.cache.Return(now, key, refusal.RetryAfter, within)
 	}
 	return refusal
 }
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -236,7 +236,7 @@
 
 func (f *fleet) admit(ctx context.Context, n *testNode, customer string, limit Limit) {
 	now := time.Now()
-	refusal := n.client.Admit(ctx, now, Key{Customer: customer, Route: testRoute}, limit)
+	refusal := n.client.Admit(ctx, now, Key{Customer: customer, Route: testRoute}, limit, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.demanded[customer] = append(f.demanded[customer], now)
--- a/internal/request/relay/letin_test.go
+++ b/internal/request/relay/letin_test.go
@@ -18,7 +18,7 @@
 type tokens struct{ left int }
 
 // Admit implements Admitter.
-func (a *tokens) Admit(context.Context, time.Time, quota.Key, quota.Limit) *refuse.Refusal {
+func (a *tokens) Admit(context.Context, time.Time, quota.Key, quota.Limit, time.Duration) *refuse.Refusal {
 	if a.left == 0 {
 		return refuse.New(refuse.RateExceeded, time.Second, "")
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -55,7 +55,7 @@
 
 // Admitter admits requests within their customers' rates.
 type Admitter interface {
-	Admit(ctx context.Context, now time.Time, key quota.Key, limit quota.Limit) *refuse.Refusal
+	Admit(ctx context.Context, now time.Time, key quota.Key, limit quota.Limit, within time.Duration) *refuse.Refusal
 }
 
 // Claimer lets a request with an idempotency key run at most once.
@@ -283,7 +283,7 @@
 		leave = func() { r.admission.Leave(time.Now(), p.route) }
 	}
 	if p.limit.Rate > 0 {
-		if refusal := r.Admitter.Admit(ctx, now, p.rate, p.limit); refusal != nil {
+		if refusal := r.Admitter.Admit(ctx, now, p.rate, p.limit, admit.BackWithin(p.objective)); refusal != nil {
 			leave()
 			return nil, refusal
 		}
