--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -35,7 +35,9 @@
 }
 
 // Admit implements Admitter.
-func (fixed) Admit(context.Context, time.Time, quota.Key, quota.Limit, time.Duration) *refuse.Refusal { return nil }
+func (fixed) Admit(context.Context, time.Time, quota.Key, quota.Limit, time.Duration) *refuse.Refusal {
+	return nil
+}
 
 // Claim implements Claimer.
 func (fixed) Claim(context.Context, string, string) (func(), *refuse.Refusal) { return func() {}, nil }
