Pull configuration from the node's own availability zone first

Cause: a node pulled a feed from whichever neighbour was ahead, and four of five neighbours are in other zones; a node that started pulled it from up to six seeds at once. Ruled out: fewer announcements (the change then took longer). Change: a node pulls at once within its zone; from another zone it pulls only after 0.3 to 0.6 s without progress, at a time of its own, so that one node of the zone does and tells the others. Announcements choose their targets at random, as a fixed step left half of a large zone to the neighbours. Test: TestZonePulls, 195 nodes in three zones, virtual time.

--- a/internal/fakes/mesh/mesh.go
+++ b/internal/fakes/mesh/mesh.go
@@ -21,9 +21,10 @@
 type Network struct {
 	delay time.Duration
 
-	mu    sync.Mutex
-	lost  map[[2]netip.AddrPort]bool // by sender and receiver
-	nodes map[netip.AddrPort]*Node
+	mu       sync.Mutex
+	onAnswer func(from, to netip.AddrPort, kind wire.Kind, size int)
+	lost     map[[2]netip.AddrPort]bool // by sender and receiver
+	nodes    map[netip.AddrPort]*Node
 }
 
 // NewNetwork returns a Network without nodes that delivers each message, and each
@@ -57,6 +58,14 @@
 	delete(n.nodes, address)
 }
 
+// OnAnswer sets a function that is called with each answer to a request: the nodes that
+// send and receive the answer, the kind of the request and the answer's size in bytes.
+func (n *Network) OnAnswer(observe func(from, to netip.AddrPort, kind wire.Kind, size int)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onAnswer = observe
+}
+
 // SetPartitioned sets whether messages between two nodes are lost, in both directions.
 func (n *Network) SetPartitioned(a, b netip.AddrPort, lost bool) {
 	n.mu.Lock()
@@ -98,6 +107,12 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	n.network.mu.Lock()
+	onAnswer := n.network.onAnswer
+	n.network.mu.Unlock()
+	if onAnswer != nil {
+		onAnswer(to, n.address, kind, len(data))
+	}
 	if err := n.waitForDelivery(ctx, to); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -58,6 +58,14 @@
 	answeredAt  time.Time              // of the last answer to a ping
 	outbox      []Record               // records to send to the neighbours
 	failedPings map[netip.AddrPort]int // consecutive failed pings
+	lags        []lag                  // by feed
+}
+
+// lag says that nodes of other availability zones have a newer revision of a feed than
+// the node.
+type lag struct {
+	pullAt   time.Time // from when the node may pull from another zone
+	revision uint64    // the node's own
 }
 
 // NewAgent returns an Agent and registers its handlers on the mesh. The feeds must
@@ -70,6 +78,7 @@
 		log:           log,
 		mesh:          mesh,
 		failedPings:   make(map[netip.AddrPort]int),
+		lags:          make([]lag, len(feeds)),
 		table:         table,
 		wake:          make(chan struct{}, 1),
 	}
@@ -182,6 +191,9 @@
 	changed := false
 	for i, feed := range a.feeds {
 		before := feed.Snapshot().Revision()
+		if !a.sameZone(peer) && !a.lagsLong(time.Now(), i) {
+			continue
+		}
 		if err := a.pull(ctx, peer, i); err != nil {
 			a.log.Debug().Err(err).Stringer("Peer", peer).Int("Feed", i).Msg("pulling a feed from a peer failed")
 		}
@@ -262,7 +274,7 @@
 	a.mu.Unlock()
 	a.compareDigests(ctx, peer, answer.Digest)
 	for i, state := range answer.Feeds[:min(len(answer.Feeds), len(a.feeds))] {
-		if state.Revision > a.feeds[i].Snapshot().Revision() {
+		if a.mayPull(sent, peer, i, state.Revision) {
 			if err := a.pull(ctx, peer, i); err != nil {
 				return trace.Wrap(err)
 			}
@@ -372,12 +384,13 @@
 	if err := wire.Decode(body, &ping); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	now := time.Now()
 	for i, state := range ping.Feeds[:min(len(ping.Feeds), len(a.feeds))] {
-		if state.Revision > a.feeds[i].Snapshot().Revision() {
+		if a.mayPull(now, from, i, state.Revision) {
 			a.enqueue(from, nil)
 		}
 	}
-	return a.newPing(time.Now()), nil
+	return a.newPing(now), nil
 }
 
 // handleNews merges the records and schedules those that were new to be forwarded to
--- a/internal/process/member/table.go
+++ b/internal/process/member/table.go
@@ -111,6 +111,18 @@
 	return t.self
 }
 
+// Zone returns the availability zone of a node. It returns false if the node is
+// unknown.
+func (t *Table) Zone(peer netip.AddrPort) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[peer]
+	if e == nil {
+		return "", false
+	}
+	return e.record.Zone, true
+}
+
 // RecentlyDead returns the records of the other nodes of an availability zone that
 // are dead and whose records changed during the given time before now.
 func (t *Table) RecentlyDead(now time.Time, zone string, within time.Duration) []Record {
--- a/internal/process/member/watch.go
+++ b/internal/process/member/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -128,8 +129,9 @@
 const announceTargets = 32
 
 // Announce pings the neighbours and about announceTargets nodes of the node's own
-// availability zone to tell them of a change of a feed. The neighbours alone
-// would not be enough: while another availability zone is cut off, changes do not get
+// availability zone to tell them of a change of a feed. Each node that passes the change
+// on chooses others at random, so that all nodes of the zone are told. The neighbours
+// alone would not be enough: while another availability zone is cut off, changes do not get
 // past its nodes on the ring until these are known to be dead.
 func (a *Agent) Announce(ctx context.Context) {
 	self := a.table.Self()
@@ -137,7 +139,7 @@
 	workers.Go(func() { a.pingNeighbours(ctx) })
 	zone := a.table.View().Zone(self.Zone, a.table.View().Size())
 	step := max(len(zone)/announceTargets, 1)
-	for i := 0; i < len(zone); i += step {
+	for i := rand.IntN(step); i < len(zone); i += step {
 		if peer := zone[i].Peers; peer != self.Peers {
 			workers.Go(func() {
 				if err := a.ping(ctx, peer); err != nil {
--- /dev/null
+++ b/internal/process/member/zones.go
@@ -0,0 +1,88 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// crossZonePullDelay is how long a node that is behind waits for a node of its own
+	// availability zone to send it a feed, before it pulls it from another zone.
+	crossZonePullDelay = 300 * time.Millisecond
+	// crossZonePullJitter is the maximum random time that is added to
+	// crossZonePullDelay, so that one node of the zone pulls first and the others get
+	// the feed from it.
+	crossZonePullJitter = 300 * time.Millisecond
+)
+
+// zonePulls is the number of nodes of its availability zone from which a node that
+// joins pulls the feeds.
+const zonePulls = 2
+
+// mayPull reports whether the node may pull a feed now from a peer that has the given
+// revision of it. It may if the peer is ahead and in the same availability zone, or if
+// the node has lagged long. Otherwise it starts to lag, and tries again later.
+func (a *Agent) mayPull(now time.Time, peer netip.AddrPort, feed int, revision uint64) bool {
+	own := a.feeds[feed].Snapshot().Revision()
+	if revision <= own {
+		return false
+	}
+	if a.sameZone(peer) || a.lagsLong(now, feed) {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l := &a.lags[feed]; l.pullAt.IsZero() || l.revision != own {
+		delay := crossZonePullDelay + rand.N(crossZonePullJitter)
+		*l = lag{pullAt: now.Add(delay), revision: own}
+		time.AfterFunc(delay, func() {
+			if a.feeds[feed].Snapshot().Revision() < revision {
+				a.enqueue(peer, nil)
+			}
+		})
+	}
+	return false
+}
+
+// sameZone reports whether a peer is known to be in the node's availability zone.
+func (a *Agent) sameZone(peer netip.AddrPort) bool {
+	zone, known := a.table.Zone(peer)
+	return known && zone == a.table.Self().Zone
+}
+
+// lagsLong reports whether the node has lagged behind nodes of other availability zones
+// in a feed until its time to pull from them, without any progress.
+func (a *Agent) lagsLong(now time.Time, feed int) bool {
+	own := a.feeds[feed].Snapshot().Revision()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.lags[feed]
+	return !l.pullAt.IsZero() && l.revision == own && !now.Before(l.pullAt)
+}
+
+// PullFromZone pings some nodes of the node's availability zone at the same time, and
+// so pulls the feeds in which they are ahead. It returns after pingTimeout at the
+// latest.
+func (a *Agent) PullFromZone(ctx context.Context) {
+	self := a.table.Self()
+	zone := a.table.View().Zone(self.Zone, a.table.View().Size())
+	rand.Shuffle(len(zone), func(i, j int) { zone[i], zone[j] = zone[j], zone[i] })
+	var workers conc.WaitGroup
+	pulls := 0
+	for _, r := range zone {
+		if r.Peers == self.Peers || pulls == zonePulls {
+			continue
+		}
+		pulls++
+		workers.Go(func() {
+			if err := a.ping(ctx, r.Peers); err != nil {
+				a.log.Debug().Err(err).Stringer("Peer", r.Peers).Msg("pulling the feeds from a peer of the zone failed")
+			}
+		})
+	}
+	workers.Wait()
+}
--- /dev/null
+++ b/internal/process/member/zones_test.go
@@ -0,0 +1,60 @@
+package member
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabibend/wasabibend/internal/conn/wire"
+	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/internal/version/snaps"
+)
+
+// TestZonePulls guards against a configuration that crosses availability zones once for
+// each node instead of a few times for each zone. Traffic between zones is charged.
+func TestZonePulls(t *testing.T) {
+	const size = 100 << 10
+	for _, c := range []struct {
+		name    string
+		sources []string // zones in which one node reads the change from the platform
+		// maxCrossings is the maximum number of copies of the configuration that cross
+		// zones.
+		maxCrossings int
+		within       time.Duration
+	}{
+		{"a node of each zone reads the change", []string{"zone0", "zone1", "zone2"}, 0, time.Second},
+		{"a node of one zone reads the change", []string{"zone0"}, 20, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := newCluster(ctx, t, 195)
+				time.Sleep(20 * time.Second)
+				crossings := 0
+				s.net.OnAnswer(func(from, to netip.AddrPort, kind wire.Kind, bytes int) {
+					fromZone, _ := s.nodes[0].table.Zone(from)
+					toZone, _ := s.nodes[0].table.Zone(to)
+					if kind == wire.KindPull && fromZone != toZone && bytes >= size {
+						crossings++
+					}
+				})
+				for _, zone := range c.sources {
+					source := s.zone(zone)[0]
+					source.feeds[0].Apply(snaps.Delta{Objects: []store.Object{{Key: "x", Value: make([]byte, size), Version: 7}}, Revision: 7})
+					go source.Announce(ctx)
+				}
+				time.Sleep(c.within)
+				assert.Check(t, s.all(func(a *Agent) bool { return a.feeds[0].Snapshot().Revision() == 7 }), "not all nodes have the change after %v", c.within)
+				assert.Check(t, crossings <= c.maxCrossings, "%d copies crossed zones, expected at most %d", crossings, c.maxCrossings)
+				t.Logf("%d copies crossed zones", crossings)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
