Call the platform's store a tenth as often in a large fleet

Calls are counted by operation, kind and outcome (StoreCalls). The quota test's stand-in for the node now marks its records as read, as nodes do.

--- a/internal/fakes/objapi/memory.go
+++ b/internal/fakes/objapi/memory.go
@@ -33,26 +33,31 @@
 }
 
 // Get implements store.Store.
-func (m *MemoryStore) Get(ctx context.Context, key string) (store.Object, error) {
-	if err := m.simulateCall(ctx, func(c *Counts) *int { return &c.Reads }); err != nil {
+func (m *MemoryStore) Get(ctx context.Context, key string, options ...store.ReadOption) (store.Object, error) {
+	stale := store.NewReadOptions(options).Stale
+	if err := m.simulateCall(ctx, readCounter(stale)); err != nil {
 		return store.Object{}, err
 	}
 	m.server.mu.Lock()
 	defer m.server.mu.Unlock()
 	object, ok := m.server.objects[key]
-	if !ok || object.Value == nil {
+	if !ok || object.Value == nil || stale && m.server.faults.StaleEmpty {
 		return store.Object{}, store.ErrNotFound
 	}
 	return object, nil
 }
 
 // List implements store.Store. The listing also includes deleted objects.
-func (m *MemoryStore) List(ctx context.Context, prefix string) (store.Listing, error) {
-	if err := m.simulateCall(ctx, func(c *Counts) *int { return &c.Reads }); err != nil {
+func (m *MemoryStore) List(ctx context.Context, prefix string, options ...store.ReadOption) (store.Listing, error) {
+	stale := store.NewReadOptions(options).Stale
+	if err := m.simulateCall(ctx, readCounter(stale)); err != nil {
 		return store.Listing{}, err
 	}
 	m.server.mu.Lock()
 	defer m.server.mu.Unlock()
+	if stale && m.server.faults.StaleEmpty {
+		return store.Listing{}, nil
+	}
 	return m.server.changes(prefix, 0), nil
 }
 
@@ -77,15 +82,12 @@
 	return err
 }
 
-// Watch implements store.Store. It returns at once, also if nothing changed, and
-// ignores Faults.Forget.
-func (m *MemoryStore) Watch(ctx context.Context, prefix string, from uint64, _ time.Duration) (store.Listing, error) {
+// Watch implements store.Store.
+func (m *MemoryStore) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (store.Listing, error) {
 	if err := m.simulateCall(ctx, func(c *Counts) *int { return &c.Watches }); err != nil {
 		return store.Listing{}, err
 	}
-	m.server.mu.Lock()
-	defer m.server.mu.Unlock()
-	return m.server.changes(prefix, from), nil
+	return m.server.awaitChanges(ctx, prefix, from, wait)
 }
 
 // simulateCall counts a call in the given counter and waits for the delay of the
--- a/internal/fakes/objapi/objapi.go
+++ b/internal/fakes/objapi/objapi.go
@@ -3,7 +3,9 @@
 package objapi
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -43,15 +45,26 @@
 	// Forget is the lowest revision from which a watch may start. An earlier one
 	// gets 410 Gone, as if the platform no longer knew the changes since then.
 	Forget uint64
+	// StaleEmpty makes reads that may be stale return the store's initial state,
+	// without any objects.
+	StaleEmpty bool
 	// Rate is the maximum number of calls in each second of the clock; 0 means no
 	// limit.
 	Rate int
 }
 
 // Counts are the numbers of calls received since the start. GET /counts returns
-// them as JSON.
+// them as JSON. StaleReads are not included in Reads.
 type Counts struct {
-	Reads, Refused, Watches, Writes int
+	Reads, Refused, StaleReads, Watches, Writes int
+}
+
+// readCounter returns the counter of a read, which may be stale.
+func readCounter(stale bool) func(*Counts) *int {
+	if stale {
+		return func(c *Counts) *int { return &c.StaleReads }
+	}
+	return func(c *Counts) *int { return &c.Reads }
 }
 
 // Server is the http.Handler of the object API, /counts and /faults. mu guards
@@ -72,11 +85,10 @@
 // New returns a Server without objects and faults.
 func New() *Server {
 	s := &Server{changed: make(chan struct{}), objects: make(map[string]store.Object), router: httprouter.New()}
-	reads := func(c *Counts) *int { return &c.Reads }
 	writes := func(c *Counts) *int { return &c.Writes }
 	s.router.GET(pathKind, s.list)
 	s.router.POST(pathKind, s.injectFaults(s.create, writes))
-	s.router.GET(pathName, s.injectFaults(s.get, reads))
+	s.router.GET(pathName, s.get)
 	s.router.PUT(pathName, s.injectFaults(s.replace, writes))
 	s.router.DELETE(pathName, s.injectFaults(s.remove, writes))
 	s.router.GET("/counts", s.getCounts)
@@ -141,20 +153,29 @@
 	return s.faults.Delay, true
 }
 
-func (s *Server) get(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	s.mu.Lock()
-	object, ok := s.objects[objectKey(params)]
-	s.mu.Unlock()
-	if !ok || object.Value == nil {
-		http.Error(w, "not found", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, objs.ToObject(object))
+func (s *Server) get(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	stale := mayBeStale(r)
+	s.injectFaults(func(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+		s.mu.Lock()
+		object, ok := s.objects[objectKey(params)]
+		hidden := stale && s.faults.StaleEmpty
+		s.mu.Unlock()
+		if !ok || hidden || object.Value == nil {
+			http.Error(w, "not found", http.StatusNotFound)
+			return
+		}
+		writeJSON(w, objs.ToObject(object))
+	}, readCounter(stale))(w, r, params)
+}
+
+// mayBeStale reports whether the response to a read may be old.
+func mayBeStale(r *http.Request) bool {
+	return r.URL.Query().Get(objs.QueryStale) == "1"
 }
 
 // list lists the objects of a kind, or watches them if the query says so.
 func (s *Server) list(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	next, counter := s.listPage, func(c *Counts) *int { return &c.Reads }
+	next, counter := s.listPage, readCounter(mayBeStale(r))
 	if r.URL.Query().Has(objs.QueryWatch) {
 		next, counter = s.watch, func(c *Counts) *int { return &c.Watches }
 	}
@@ -166,6 +187,9 @@
 func (s *Server) listPage(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	s.mu.Lock()
 	listing := s.changes(params.ByName("kind")+"/", 0)
+	if s.faults.StaleEmpty && mayBeStale(r) {
+		listing = store.Listing{}
+	}
 	s.mu.Unlock()
 	page := objs.Listing{Revision: listing.Revision}
 	for _, stored := range listing.Objects {
@@ -273,31 +297,42 @@
 		http.Error(w, "the wait is missing", http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	listing, err := s.awaitChanges(r.Context(), params.ByName("kind")+"/", from, min(time.Duration(wait)*time.Millisecond, maxWait))
+	switch {
+	case r.Context().Err() != nil:
+	case errors.Is(err, store.ErrGone):
+		http.Error(w, "the history is gone", http.StatusGone)
+	case err != nil:
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+	default:
+		writeJSON(w, toChanges(listing))
+	}
+}
+
+// awaitChanges returns the changes of objects with a prefix after a revision. It waits
+// for one until the time wait has passed or the context ends.
+func (s *Server) awaitChanges(ctx context.Context, prefix string, from uint64, wait time.Duration) (store.Listing, error) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		listing := s.changes(params.ByName("kind")+"/", from)
+		listing := s.changes(prefix, from)
 		changed, faults := s.changed, s.faults
 		s.mu.Unlock()
 		switch {
 		case faults.Down:
-			http.Error(w, "unavailable", http.StatusServiceUnavailable)
-			return
+			return store.Listing{}, errUnreachable
 		case from < faults.Forget:
-			http.Error(w, "the history is gone", http.StatusGone)
-			return
+			return store.Listing{}, store.ErrGone
 		case len(listing.Objects) > 0:
-			writeJSON(w, toChanges(listing))
-			return
+			return listing, nil
 		}
 		select {
 		case <-changed:
-		case <-r.Context().Done():
-			return
+		case <-ctx.Done():
+			return store.Listing{}, ctx.Err()
 		case <-timer.C:
-			writeJSON(w, toChanges(listing))
-			return
+			return listing, nil
 		}
 	}
 }
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// metrics returns the counters of requests and of the traffic between nodes.
+// metrics returns the counters of requests, of the traffic between nodes and of the
+// calls to the platform's store.
 func (n *Node) metrics() *expvar.Map {
 	all := new(expvar.Map).Init()
 	all.Set("Requests", n.stats.Var())
@@ -49,6 +50,7 @@
 	control.Add("FramesOut", traffic.FramesOut.Load())
 	control.Add("Links", int64(n.mesh.Links()))
 	all.Set("Control", control)
+	all.Set("StoreCalls", n.store.Calls())
 	return all
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -84,7 +84,7 @@
 	settings   atomic.Pointer[setup.Settings]
 	flushSpans func(context.Context) error
 	stats      *stats.Stats
-	store      store.Store
+	store      *store.Counted
 	// storeFailed is true if the last call to the platform's store failed.
 	storeFailed atomic.Bool
 	table       *member.Table
@@ -167,7 +167,7 @@
 		pool:       pool.New(pool.WithSource(settings.Source)),
 		flushSpans: flushSpans,
 		stats:      stats.New(),
-		store:      platform,
+		store:      store.NewCounted(platform),
 		table:      member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
 		version:    version,
 	}
@@ -176,10 +176,10 @@
 	for _, option := range options {
 		option(n)
 	}
-	n.feeds = []feed{{holder: n.config, prefix: kinds.Root, wait: recordsWait, watchers: watchersPerZone}}
+	n.feeds = []feed{{holder: n.config, prefix: kinds.Root, watchers: watchersPerZone}}
 	if n.catalogDecoder != nil {
 		n.catalog = snaps.NewHolder(snaps.WithCatalog(n.catalogKey, n.catalogDecoder))
-		n.feeds = append(n.feeds, feed{holder: n.catalog, prefix: n.catalogPrefix, wait: catalogWait, watchers: watchersPerZone})
+		n.feeds = append(n.feeds, feed{checked: n.catalogKey, holder: n.catalog, prefix: n.catalogPrefix, watchers: watchersPerZone})
 	}
 	holders := make([]*snaps.Holder, len(n.feeds))
 	for i, f := range n.feeds {
--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -37,6 +37,10 @@
 	settleInterval = 300 * time.Millisecond
 )
 
+// seedAttempts is the number of attempts to join at seeds before a node becomes a seed
+// itself. While all nodes restart, the seeds take some time to answer.
+const seedAttempts = 4
+
 // maxSeedJoinAttempts is the maximum number of attempts to join at seeds that do not
 // answer.
 const maxSeedJoinAttempts = 5
@@ -46,20 +50,21 @@
 const maxSeeds = 5
 
 // join joins the fleet: at seeds from the platform's store or at addresses from the
-// settings. If none of them answers but the store does, the node adds itself to the
-// seeds and joins at those that others have added meanwhile. It retries with
-// exponential backoff until one of these succeeds or the context ends.
-func (n *Node) join(ctx context.Context) {
+// settings. Seeds are hints, so a stale read of them suffices. If there are none, or
+// if none has answered in seedAttempts, the node adds itself to the seeds and joins at
+// those that others have added meanwhile. It retries with exponential backoff until
+// one of these succeeds or the context ends. It calls joined as soon as a peer has
+// answered.
+func (n *Node) join(ctx context.Context, joined func()) {
 	backoff := minBackoff
-	for ctx.Err() == nil {
-		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		listing, err := n.store.List(ctx, kinds.PrefixSeeds, store.WithStale())
 		addresses := append(seedAddresses(listing), n.settings.Load().Join...)
-		if n.joinAny(ctx, slices.Clone(addresses)) {
+		if n.joinAny(ctx, slices.Clone(addresses), joined) {
 			n.settle(ctx, addresses)
 			return
 		}
-		if err == nil && n.addSeed(ctx, n.zoneSeeds(listing)) {
-			n.joinSeeds(ctx)
+		if err == nil && (len(addresses) == 0 || attempt >= seedAttempts) && n.becomeSeed(ctx, joined) {
 			return
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
@@ -67,15 +72,36 @@
 	}
 }
 
+// becomeSeed reads the seeds as they are now. It joins at one of them, or adds the node
+// to the seeds of its availability zone and joins at the others. It reports whether one
+// of these succeeded.
+func (n *Node) becomeSeed(ctx context.Context, joined func()) bool {
+	listing, err := n.store.List(ctx, kinds.PrefixSeeds)
+	n.logStoreState(err)
+	if err != nil {
+		return false
+	}
+	if addresses := seedAddresses(listing); n.joinAny(ctx, slices.Clone(addresses), joined) {
+		n.settle(ctx, addresses)
+		return true
+	}
+	if !n.addSeed(ctx, n.zoneSeeds(listing)) {
+		return false
+	}
+	n.joinSeeds(ctx, joined)
+	return true
+}
+
 // joinAny joins at up to maxJoinPeers of the addresses, chosen at random, at the same
 // time and reports whether one answered. While many nodes start, several of them
-// together know more of the fleet than one. It modifies the slice.
-func (n *Node) joinAny(ctx context.Context, addresses []netip.AddrPort) bool {
+// together know more of the fleet than one. It calls joined as soon as one has
+// answered. It modifies the slice.
+func (n *Node) joinAny(ctx context.Context, addresses []netip.AddrPort, joined func()) bool {
 	others := slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return a == n.settings.Load().Peers })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	var joined atomic.Bool
+	var answered atomic.Bool
 	var workers conc.WaitGroup
 	for _, address := range others[:min(len(others), maxJoinPeers)] {
 		workers.Go(func() {
@@ -83,11 +109,12 @@
 				n.log.Debug().Err(err).Stringer("Peer", address).Msg("joining at a peer failed")
 				return
 			}
-			joined.Store(true)
+			answered.Store(true)
+			joined()
 		})
 	}
 	workers.Wait()
-	return joined.Load()
+	return answered.Load()
 }
 
 // settle joins settleRounds more times, because nodes that start at the same time
@@ -97,19 +124,22 @@
 		if !sleep(ctx, settleInterval) {
 			return
 		}
-		n.joinAny(ctx, slices.Clone(addresses))
+		n.joinAny(ctx, slices.Clone(addresses), ignoreJoined)
 	}
 }
 
+// ignoreJoined is the argument of joinAny after the first peer has answered.
+func ignoreJoined() {}
+
 // joinSeeds joins at the other seeds in the platform's store after the node has added
 // itself. Of two nodes that start at the same time, the one that was added later sees
 // the other. It gives up after maxSeedJoinAttempts.
-func (n *Node) joinSeeds(ctx context.Context) {
+func (n *Node) joinSeeds(ctx context.Context, joined func()) {
 	backoff := minBackoff
 	for range maxSeedJoinAttempts {
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
 		others := slices.DeleteFunc(seedAddresses(listing), func(a netip.AddrPort) bool { return a == n.settings.Load().Peers })
-		if err == nil && len(others) == 0 || n.joinAny(ctx, others) {
+		if err == nil && len(others) == 0 || n.joinAny(ctx, others, joined) {
 			return
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
@@ -126,12 +156,12 @@
 		if !n.agent.ShouldWatch(time.Now(), 1) {
 			continue
 		}
-		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
+		listing, err := n.store.List(ctx, kinds.PrefixSeeds, store.WithStale())
 		n.logStoreState(err)
 		if err != nil {
 			continue
 		}
-		n.joinAny(ctx, n.unknownAddresses(append(seedAddresses(listing), n.settings.Load().Join...)))
+		n.joinAny(ctx, n.unknownAddresses(append(seedAddresses(listing), n.settings.Load().Join...)), ignoreJoined)
 		n.refreshSeeds(ctx, n.zoneSeeds(listing))
 	}
 }
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -35,6 +35,9 @@
 	leaseInterval = 200 * time.Millisecond
 	// maxTokenWait is the longest time for which a request waits for a token.
 	maxTokenWait = 50 * time.Millisecond
+	// createBackoff is the time after a failed attempt to create an allocator in which
+	// the node learns who has created it.
+	createBackoff = time.Second
 	// pruneRounds is the number of rounds of the lease loop from one pruning to
 	// the next.
 	pruneRounds = 120
@@ -76,17 +79,21 @@
 // the shards whose allocators the node holds.
 type Client struct {
 	Options
-	leases     []*Lease // by shard
-	cache      *Cache
-	wakeLoop   chan struct{} // begins a round of the lease loop
-	fastRounds atomic.Int64  // remaining fast rounds of the lease loop
-	workers    conc.WaitGroup
-	zoneIndex  int // of Zone in Zones
+	leases []*Lease // by shard
+	cache  *Cache
+	// createAfter is the time, by shard, before which the node does not create the
+	// allocator. Only the goroutine that maintains a shard uses its element.
+	createAfter []time.Time
+	wakeLoop    chan struct{} // begins a round of the lease loop
+	fastRounds  atomic.Int64  // remaining fast rounds of the lease loop
+	workers     conc.WaitGroup
+	zoneIndex   int // of Zone in Zones
 }
 
 // NewClient returns a Client and registers its message handlers on the mesh.
 func NewClient(now time.Time, options Options) *Client {
 	c := &Client{Options: options, cache: NewCache(now), wakeLoop: make(chan struct{}, 1), zoneIndex: slices.Index(options.Zones, options.Zone)}
+	c.createAfter = make([]time.Time, options.Shards)
 	for range options.Shards {
 		c.leases = append(c.leases, NewLease(now, options.Self))
 	}
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -197,10 +197,12 @@
 func (n *testNode) watchPlatform(ctx context.Context) {
 	for ctx.Err() == nil {
 		from := n.config.Snapshot().Revision()
+		sent := time.Now()
 		if listing, err := n.memory.Watch(ctx, kinds.Root, from, 0); err == nil {
 			if n.config.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
 				n.agent.Announce(ctx)
 			}
+			n.config.MarkFresh(listing.Revision, sent)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -163,9 +163,11 @@
 	switch {
 	case known && record.Holder == c.Self:
 		c.confirm(ctx, shard, lease)
-	case !known && c.isFirstHolder(shard):
+	case !known && c.mayCreate(now, shard):
 		first := kinds.Allocator{Candidates: []netip.AddrPort{c.Self}, Holder: c.Self, Shard: shard, Term: 1, Zone: c.Zone}
-		c.writeRecord(ctx, shard, lease, &first, 0)
+		if !c.writeRecord(ctx, shard, lease, &first, 0) {
+			c.createAfter[shard] = now.Add(createBackoff)
+		}
 	case known:
 		lease.Observe(&record)
 		if slices.Contains(record.Candidates, c.Self) {
@@ -396,6 +398,14 @@
 	return records
 }
 
+// mayCreate reports whether this node should create the allocator of a shard now. The
+// records must have been read, and createBackoff must have passed since the last
+// attempt: while a fleet starts, several nodes consider themselves the first holder.
+func (c *Client) mayCreate(now time.Time, shard int) bool {
+	_, read := c.Config.Age(now)
+	return read && !now.Before(c.createAfter[shard]) && c.isFirstHolder(shard)
+}
+
 // isFirstHolder reports whether this node should create the allocator of a
 // shard that has none.
 func (c *Client) isFirstHolder(shard int) bool {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -37,12 +37,37 @@
 	Revision uint64
 }
 
-// Store is the platform's object API.
+// ReadOption changes how a Store reads.
+type ReadOption func(*ReadOptions)
+
+// ReadOptions are the combined options of a read.
+type ReadOptions struct {
+	// Stale is set if the result may be some seconds old.
+	Stale bool
+}
+
+// NewReadOptions combines options.
+func NewReadOptions(options []ReadOption) ReadOptions {
+	var all ReadOptions
+	for _, option := range options {
+		option(&all)
+	}
+	return all
+}
+
+// WithStale allows a read to return what the store held some seconds ago, even if
+// that was nothing. Such a read costs the platform a tenth of a linearizable one.
+func WithStale() ReadOption {
+	return func(o *ReadOptions) { o.Stale = true }
+}
+
+// Store is the platform's object API. Reads are linearizable unless an option says
+// otherwise.
 type Store interface {
 	// Get returns the object with a key, or ErrNotFound.
-	Get(ctx context.Context, key string) (Object, error)
+	Get(ctx context.Context, key string, options ...ReadOption) (Object, error)
 	// List returns all objects whose keys have a prefix.
-	List(ctx context.Context, prefix string) (Listing, error)
+	List(ctx context.Context, prefix string, options ...ReadOption) (Listing, error)
 	// Put writes a value if the object's version is the expected one, and returns the
 	// new version. An expected version of 0 means that the object must not exist.
 	Put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error)
