Cross availability zones with news and joins only where it helps

Ruled out: a ring sorted by zone for pings as well, as a zone that is cut off would then be found dead by few nodes and get calls for longer. Change: news floods each zone over a ring of its own and crosses from eight nodes of each zone and from the node it is about; records of 10 ms go together; four of six seeds to join at are of the own zone.

--- a/internal/fakes/mesh/mesh.go
+++ b/internal/fakes/mesh/mesh.go
@@ -21,10 +21,10 @@
 type Network struct {
 	delay time.Duration
 
-	mu       sync.Mutex
-	onAnswer func(from, to netip.AddrPort, kind wire.Kind, size int)
-	lost     map[[2]netip.AddrPort]bool // by sender and receiver
-	nodes    map[netip.AddrPort]*Node
+	mu        sync.Mutex
+	onMessage func(from, to netip.AddrPort, kind wire.Kind, size int)
+	lost      map[[2]netip.AddrPort]bool // by sender and receiver
+	nodes     map[netip.AddrPort]*Node
 }
 
 // NewNetwork returns a Network without nodes that delivers each message, and each
@@ -58,12 +58,23 @@
 	delete(n.nodes, address)
 }
 
-// OnAnswer sets a function that is called with each answer to a request: the nodes that
-// send and receive the answer, the kind of the request and the answer's size in bytes.
-func (n *Network) OnAnswer(observe func(from, to netip.AddrPort, kind wire.Kind, size int)) {
+// OnMessage sets a function that is called with each message and each answer that is
+// sent: the nodes that send and receive it, the kind of the message or of the one that
+// is answered, and the size in bytes.
+func (n *Network) OnMessage(observe func(from, to netip.AddrPort, kind wire.Kind, size int)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.onAnswer = observe
+	n.onMessage = observe
+}
+
+// observe calls the function set by OnMessage, if there is one.
+func (n *Network) observe(from, to netip.AddrPort, kind wire.Kind, size int) {
+	n.mu.Lock()
+	onMessage := n.onMessage
+	n.mu.Unlock()
+	if onMessage != nil {
+		onMessage(from, to, kind, size)
+	}
 }
 
 // SetPartitioned sets whether messages between two nodes are lost, in both directions.
@@ -107,12 +118,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	n.network.mu.Lock()
-	onAnswer := n.network.onAnswer
-	n.network.mu.Unlock()
-	if onAnswer != nil {
-		onAnswer(to, n.address, kind, len(data))
-	}
+	n.network.observe(to, n.address, kind, len(data))
 	if err := n.waitForDelivery(ctx, to); err != nil {
 		return trace.Wrap(err)
 	}
@@ -125,6 +131,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	n.network.observe(n.address, to, kind, len(data))
 	if err := n.waitForDelivery(ctx, to); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,13 +12,16 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
+	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 )
 
 const (
 	// isolatedAfter is the time without an answer to any ping after which the node
 	// considers itself cut off from the other nodes.
-	isolatedAfter  = 1500 * time.Millisecond
+	isolatedAfter = 1500 * time.Millisecond
+	// newsDelay is how long a node collects records before it sends them on together.
+	newsDelay      = 10 * time.Millisecond
 	pingInterval   = time.Second
 	pingTimeout    = 800 * time.Millisecond
 	rejoinInterval = 5 * time.Second
@@ -127,6 +131,9 @@
 		case <-ctx.Done():
 			return
 		case <-a.wake:
+			if pause.For(ctx, newsDelay) != nil {
+				return
+			}
 			a.processPending(ctx)
 		}
 	}
@@ -140,8 +147,9 @@
 	return trace.Wrap(a.ping(ctx, peer))
 }
 
-// SendToNeighbours sends records to the neighbours and returns when all of them are
-// sent, or after pingTimeout. It logs the nodes that the records declare dead.
+// SendToNeighbours sends records to the nodes that pass them on, and returns when all
+// of them are sent, or after pingTimeout. It logs the nodes that the records declare
+// dead.
 func (a *Agent) SendToNeighbours(ctx context.Context, records []Record) {
 	if len(records) == 0 {
 		return
@@ -154,7 +162,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var workers conc.WaitGroup
-	for _, peer := range a.table.View().Neighbours(a.table.Self().Peers) {
+	self := a.table.Self()
+	own := slices.ContainsFunc(records, func(r Record) bool { return r.Peers == self.Peers })
+	for _, peer := range a.table.View().newsPeers(&self, own) {
 		workers.Go(func() { _ = a.mesh.Send(ctx, peer, wire.KindNews, News{Records: records}) })
 	}
 	workers.Wait()
--- a/internal/process/member/zones.go
+++ b/internal/process/member/zones.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -64,6 +65,35 @@
 	return !l.pullAt.IsZero() && l.revision == own && !now.Before(l.pullAt)
 }
 
+// gatewaysPerZone is the number of nodes of each availability zone that pass records on
+// to other zones. Enough of them are left if a third of the nodes is cut off.
+const gatewaysPerZone = 8
+
+// newsPeers returns the nodes to which a node sends records: in its availability zone
+// those at the distances 1, fingerBase, fingerBase^2 and so on, and of its neighbours in
+// other zones all if it is a gateway or if it sends its own record, otherwise none. A
+// record that does not arrive is found by the digests in pings.
+func (v *View) newsPeers(self *Record, own bool) []netip.AddrPort {
+	zone := v.Zone(self.Zone, v.Size())
+	index := slices.IndexFunc(zone, func(r Record) bool { return r.Peers == self.Peers })
+	if index < 0 {
+		return v.Neighbours(self.Peers)
+	}
+	var peers []netip.AddrPort
+	for distance := 1; distance < len(zone); distance *= fingerBase {
+		peers = append(peers, zone[(index+distance)%len(zone)].Peers)
+	}
+	if !own && index >= gatewaysPerZone {
+		return peers
+	}
+	for _, peer := range v.Neighbours(self.Peers) {
+		if !slices.ContainsFunc(zone, func(r Record) bool { return r.Peers == peer }) {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
 // PullFromZone pings some nodes of the node's availability zone at the same time, and
 // so pulls the feeds in which they are ahead. It returns after pingTimeout at the
 // latest.
--- a/internal/process/member/zones_test.go
+++ b/internal/process/member/zones_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 				s := newCluster(ctx, t, 195)
 				time.Sleep(20 * time.Second)
 				crossings := 0
-				s.net.OnAnswer(func(from, to netip.AddrPort, kind wire.Kind, bytes int) {
+				s.net.OnMessage(func(from, to netip.AddrPort, kind wire.Kind, bytes int) {
 					fromZone, _ := s.nodes[0].table.Zone(from)
 					toZone, _ := s.nodes[0].table.Zone(to)
 					if kind == wire.KindPull && fromZone != toZone && bytes >= size {
@@ -58,3 +59,38 @@
 		})
 	}
 }
+
+// TestNewsCrossings guards against a record that crosses availability zones once for
+// each node: while a large fleet starts, that is most of the traffic between zones.
+func TestNewsCrossings(t *testing.T) {
+	for _, c := range []struct {
+		nodes, maxCrossings int
+	}{
+		{12, 60},
+		{195, 100},
+	} {
+		t.Run(strconv.Itoa(c.nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := newCluster(ctx, t, c.nodes)
+				time.Sleep(20 * time.Second)
+				crossings := 0
+				s.net.OnMessage(func(from, to netip.AddrPort, kind wire.Kind, _ int) {
+					fromZone, _ := s.nodes[0].table.Zone(from)
+					toZone, _ := s.nodes[0].table.Zone(to)
+					if kind == wire.KindNews && fromZone != toZone {
+						crossings++
+					}
+				})
+				known := s.trigger(ctx, "node drains")
+				time.Sleep(time.Second)
+				assert.Check(t, s.all(known), "not all nodes know that a node drains")
+				assert.Check(t, crossings <= c.maxCrossings, "the record crossed zones %d times, expected at most %d", crossings, c.maxCrossings)
+				t.Logf("the record crossed zones %d times", crossings)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -29,8 +29,10 @@
 
 const (
 	// maxJoinPeers is the maximum number of addresses at which a node tries to join
-	// at a time.
-	maxJoinPeers = 6
+	// at a time, and maxFarJoinPeers the maximum of those in other availability zones,
+	// if there are enough others.
+	maxJoinPeers    = 6
+	maxFarJoinPeers = 2
 	// settleRounds is how many times a node joins again, at settleInterval. Together
 	// this is about the time in which all nodes of a fleet start.
 	settleRounds   = 3
@@ -59,12 +61,12 @@
 	backoff := minBackoff
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds, store.WithStale())
-		addresses := append(seedAddresses(listing), n.settings.Load().Join...)
-		if n.joinAny(ctx, slices.Clone(addresses), joined) {
-			n.settle(ctx, addresses)
+		seeds := n.knownSeeds(listing)
+		if n.joinAny(ctx, seeds, joined) {
+			n.settle(ctx, seeds)
 			return
 		}
-		if err == nil && (len(addresses) == 0 || attempt >= seedAttempts) && n.becomeSeed(ctx, joined) {
+		if err == nil && (len(seeds) == 0 || attempt >= seedAttempts) && n.becomeSeed(ctx, joined) {
 			return
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
@@ -81,8 +83,8 @@
 	if err != nil {
 		return false
 	}
-	if addresses := seedAddresses(listing); n.joinAny(ctx, slices.Clone(addresses), joined) {
-		n.settle(ctx, addresses)
+	if seeds := n.knownSeeds(listing); n.joinAny(ctx, seeds, joined) {
+		n.settle(ctx, seeds)
 		return true
 	}
 	if !n.addSeed(ctx, n.zoneSeeds(listing)) {
@@ -92,21 +94,18 @@
 	return true
 }
 
-// joinAny joins at up to maxJoinPeers of the addresses, chosen at random, at the same
-// time and reports whether one answered. While many nodes start, several of them
-// together know more of the fleet than one. It calls joined as soon as one has
-// answered. It modifies the slice.
-func (n *Node) joinAny(ctx context.Context, addresses []netip.AddrPort, joined func()) bool {
-	others := slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return a == n.settings.Load().Peers })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+// joinAny joins at up to maxJoinPeers of the seeds at the same time and reports
+// whether one answered. While many nodes start, several of them together know more of
+// the fleet than one. It calls joined as soon as one has answered.
+func (n *Node) joinAny(ctx context.Context, seeds []seed, joined func()) bool {
 	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var answered atomic.Bool
 	var workers conc.WaitGroup
-	for _, address := range others[:min(len(others), maxJoinPeers)] {
+	for _, s := range chooseJoinPeers(seeds) {
 		workers.Go(func() {
-			if err := n.agent.Join(joinCtx, address); err != nil {
-				n.log.Debug().Err(err).Stringer("Peer", address).Msg("joining at a peer failed")
+			if err := n.agent.Join(joinCtx, s.address); err != nil {
+				n.log.Debug().Err(err).Stringer("Peer", s.address).Msg("joining at a peer failed")
 				return
 			}
 			answered.Store(true)
@@ -117,14 +116,25 @@
 	return answered.Load()
 }
 
+// chooseJoinPeers returns up to maxJoinPeers of the seeds at random. It prefers those in
+// the node's availability zone, as traffic between zones is charged.
+func chooseJoinPeers(seeds []seed) []seed {
+	shuffled := slices.Clone(seeds)
+	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	near := slices.DeleteFunc(slices.Clone(shuffled), func(s seed) bool { return s.far })
+	far := slices.DeleteFunc(shuffled, func(s seed) bool { return !s.far })
+	far = far[:min(len(far), max(maxFarJoinPeers, maxJoinPeers-len(near)))]
+	return append(near[:min(len(near), maxJoinPeers-len(far))], far...)
+}
+
 // settle joins settleRounds more times, because nodes that start at the same time
 // know few other nodes at first.
-func (n *Node) settle(ctx context.Context, addresses []netip.AddrPort) {
+func (n *Node) settle(ctx context.Context, seeds []seed) {
 	for range settleRounds {
 		if !sleep(ctx, settleInterval) {
 			return
 		}
-		n.joinAny(ctx, slices.Clone(addresses), ignoreJoined)
+		n.joinAny(ctx, seeds, ignoreJoined)
 	}
 }
 
@@ -138,7 +148,7 @@
 	backoff := minBackoff
 	for range maxSeedJoinAttempts {
 		listing, err := n.store.List(ctx, kinds.PrefixSeeds)
-		others := slices.DeleteFunc(seedAddresses(listing), func(a netip.AddrPort) bool { return a == n.settings.Load().Peers })
+		others := n.knownSeeds(listing)
 		if err == nil && len(others) == 0 || n.joinAny(ctx, others, joined) {
 			return
 		}
@@ -161,7 +171,7 @@
 		if err != nil {
 			continue
 		}
-		n.joinAny(ctx, n.unknownAddresses(append(seedAddresses(listing), n.settings.Load().Join...)), ignoreJoined)
+		n.joinAny(ctx, n.unknownSeeds(n.knownSeeds(listing)), ignoreJoined)
 		n.refreshSeeds(ctx, n.zoneSeeds(listing))
 	}
 }
@@ -213,12 +223,11 @@
 	return err == nil
 }
 
-// unknownAddresses returns the addresses of nodes that are unknown or dead. It
-// modifies the slice.
-func (n *Node) unknownAddresses(addresses []netip.AddrPort) []netip.AddrPort {
+// unknownSeeds returns the seeds whose nodes are unknown or dead. It modifies the slice.
+func (n *Node) unknownSeeds(seeds []seed) []seed {
 	view := n.table.View().All()
-	return slices.DeleteFunc(addresses, func(address netip.AddrPort) bool {
-		return slices.ContainsFunc(view, func(r member.Record) bool { return r.Peers == address })
+	return slices.DeleteFunc(seeds, func(s seed) bool {
+		return slices.ContainsFunc(view, func(r member.Record) bool { return r.Peers == s.address })
 	})
 }
 
@@ -245,14 +254,28 @@
 	return store.Object{}
 }
 
-// seedAddresses returns the seeds of all availability zones in the listing.
-func seedAddresses(listing store.Listing) []netip.AddrPort {
-	var all []netip.AddrPort
+// seed is an address at which the node may join.
+type seed struct {
+	address netip.AddrPort
+	far     bool // not known to be in the node's availability zone
+}
+
+// knownSeeds returns the seeds in the listing and the addresses from the settings,
+// without the node's own.
+func (n *Node) knownSeeds(listing store.Listing) []seed {
+	settings := n.settings.Load()
+	var all []seed
 	for _, object := range listing.Objects {
-		var seeds kinds.Seeds
-		if kinds.Decode(object.Value, &seeds) == nil {
-			all = append(all, seeds.Addresses...)
+		var stored kinds.Seeds
+		if kinds.Decode(object.Value, &stored) != nil {
+			continue
+		}
+		for _, address := range stored.Addresses {
+			all = append(all, seed{address: address, far: stored.Zone != settings.Zone})
 		}
 	}
-	return all
+	for _, address := range settings.Join {
+		all = append(all, seed{address: address, far: true})
+	}
+	return slices.DeleteFunc(all, func(s seed) bool { return s.address == settings.Peers })
 }
