Show which nodes hold an old settings file

Cause: the users cannot tell, after a change of the settings, which machines have taken it. The status showed the configuration's revision, but nothing of the file. Ruled out: a hash of the whole file, which differs between nodes by their addresses. Change: the status has a hash of the settings that all nodes should have in common, the time of loading, the names of changed settings that wait for a new start, and the error of a later file that is not valid; the status command marks nodes whose hash is not that of the settings loaded last among those asked. The exit status does not tell of old settings yet.

--- a/internal/cmdln/nodecmd.go
+++ b/internal/cmdln/nodecmd.go
@@ -38,6 +38,6 @@
 	var watcher conc.WaitGroup
 	defer watcher.Wait()
 	defer cancel()
-	watcher.Go(func() { watchSettings(watchCtx, *file, log, n.Reload) })
+	watcher.Go(func() { watchSettings(watchCtx, *file, log, n) })
 	return trace.Wrap(n.Run(ctx))
 }
--- a/internal/cmdln/reload.go
+++ b/internal/cmdln/reload.go
@@ -17,11 +17,18 @@
 // without a SIGHUP.
 const reloadInterval = 5 * time.Second
 
-// watchSettings calls apply with the new settings whenever the contents of the
+// settingsTarget takes the versions of a settings file.
+type settingsTarget interface {
+	// Reload puts settings in force.
+	Reload(now time.Time, settings *setup.Settings)
+	// RejectSettings takes the error of a version that is not valid.
+	RejectSettings(now time.Time, err error)
+}
+
+// watchSettings passes the new settings to the target whenever the contents of the
 // settings file have changed, until the context ends. It reads the file every
-// reloadInterval and on SIGHUP. If the file cannot be read or is not valid, it logs
-// the error and does not call apply.
-func watchSettings(ctx context.Context, file string, log zerolog.Logger, apply func(*setup.Settings)) {
+// reloadInterval and on SIGHUP. If the file cannot be read, it logs the error.
+func watchSettings(ctx context.Context, file string, log zerolog.Logger, target settingsTarget) {
 	sighups := make(chan os.Signal, 1)
 	signal.Notify(sighups, syscall.SIGHUP)
 	defer signal.Stop(sighups)
@@ -49,9 +56,9 @@
 		last = data
 		settings, err := setup.Parse(file, data)
 		if err != nil {
-			log.Error().Err(err).Msg("the changed settings file is not valid; the previous settings stay in force")
+			target.RejectSettings(time.Now(), err)
 			continue
 		}
-		apply(settings)
+		target.Reload(time.Now(), settings)
 	}
 }
--- a/internal/cmdln/statuscmd.go
+++ b/internal/cmdln/statuscmd.go
@@ -59,8 +59,9 @@
 			newestRevision = max(newestRevision, s.Status.Revision)
 		}
 	}
+	newestSettings := newestSettings(statuses)
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "NODE\tZONE\tSERVICE\tUPSTREAM\tREVISION\tAGE\tNODES\tFLIGHT/LIMIT\tALLOCATES\tREFUSALS")
+	fmt.Fprintln(w, "NODE\tZONE\tSERVICE\tUPSTREAM\tREVISION\tAGE\tNODES\tFLIGHT/LIMIT\tALLOCATES\tSETTINGS\tREFUSALS")
 	for _, s := range statuses {
 		if s.Status == nil {
 			fmt.Fprintf(w, "%v\t%s\n", s.Node, s.Error)
@@ -74,11 +75,40 @@
 		if s.Status.AgeMS >= 0 {
 			age = (time.Duration(s.Status.AgeMS) * time.Millisecond).Round(100 * time.Millisecond).String()
 		}
-		fmt.Fprintf(w, "%v\t%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%s\t%s\n", s.Node, s.Status.Zone, s.Status.Service, s.Status.Readiness, revision, age, len(s.Status.Members), s.Status.InFlight, s.Status.Limit, strings.Trim(fmt.Sprint(s.Status.Allocators), "[]"), formatRefusals(s.Status.Refusals))
+		fmt.Fprintf(w, "%v\t%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%s\t%s\t%s\n", s.Node, s.Status.Zone, s.Status.Service, s.Status.Readiness, revision, age, len(s.Status.Members), s.Status.InFlight, s.Status.Limit, strings.Trim(fmt.Sprint(s.Status.Allocators), "[]"), formatSettings(&s.Status.Settings, newestSettings), formatRefusals(s.Status.Refusals))
 	}
 	return trace.Wrap(w.Flush())
 }
 
+// newestSettings returns the digest of the settings that were loaded last on any of the
+// nodes.
+func newestSettings(statuses []nodeStatus) string {
+	var newest admin.Settings
+	for _, s := range statuses {
+		if s.Status != nil && !s.Status.Settings.LoadedAt.Before(newest.LoadedAt) {
+			newest = s.Status.Settings
+		}
+	}
+	return newest.Digest
+}
+
+// formatSettings returns the digest of a node's settings, marked if they are not the
+// newest, if some take effect only after a restart, or if the node has rejected a later
+// version of its settings file.
+func formatSettings(settings *admin.Settings, newest string) string {
+	text := settings.Digest
+	if settings.Digest != newest {
+		text += " (old)"
+	}
+	if len(settings.Pending) > 0 {
+		text += " (restart for " + strings.Join(settings.Pending, ",") + ")"
+	}
+	if settings.Rejected != "" {
+		text += " (file rejected)"
+	}
+	return text
+}
+
 func formatRefusals(refusals map[string]int64) string {
 	var parts []string
 	for cause, count := range refusals {
--- /dev/null
+++ b/internal/cmdln/statuscmd_test.go
@@ -0,0 +1,44 @@
+package cmdln
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wasabibend/wasabibend/pkg/admin"
+)
+
+// TestPrintStatus guards against a status that does not show which nodes have not taken
+// the newest version of the settings file, and why.
+func TestPrintStatus(t *testing.T) {
+	loaded := time.Unix(1000, 0)
+	node := func(n byte, settings admin.Settings) nodeStatus {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 8003)
+		return nodeStatus{Node: address, Status: &admin.Status{AgeMS: 400, Limit: 30, Readiness: "Ready", Revision: 7, Service: "ledger", Settings: settings, Zone: "a"}}
+	}
+	var out strings.Builder
+	if err := printStatus(&console{out: &out}, []nodeStatus{
+		node(1, admin.Settings{Digest: "3f2a9c", LoadedAt: loaded.Add(time.Minute)}),
+		node(2, admin.Settings{Digest: "81d0e2", LoadedAt: loaded}),
+		node(3, admin.Settings{Digest: "81d0e2", LoadedAt: loaded, Rejected: "Drain: want a duration"}),
+		node(4, admin.Settings{Digest: "77aa01", LoadedAt: loaded.Add(time.Second), Pending: []string{"Expiry", "Zones"}}),
+		{Node: netip.MustParseAddrPort("10.0.0.5:8003"), Error: "10.0.0.5:8003 does not answer"},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	const file = "testdata/status.txt"
+	if *update {
+		if err := os.WriteFile(file, []byte(out.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if out.String() != string(want) {
+		t.Errorf("got:\n%s\nwant:\n%s", out.String(), want)
+	}
+}
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -70,6 +70,7 @@
 		Rejected:   n.config.Rejected(),
 		Revision:   n.config.Snapshot().Revision(),
 		Service:    self.Service,
+		Settings:   n.settingsStatus(),
 		Version:    n.version,
 		Waiting:    load.Waiting,
 		Zone:       self.Zone,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -81,6 +81,7 @@
 	pool       *pool.Pool
 	quota      *quota.Client
 	relay      *relay.Relay
+	reloaded   atomic.Pointer[reloadState]
 	settings   atomic.Pointer[setup.Settings]
 	flushSpans func(context.Context) error
 	stats      *stats.Stats
@@ -172,6 +173,7 @@
 		version:    version,
 	}
 	n.settings.Store(settings)
+	n.reloaded.Store(&reloadState{at: now})
 	n.secretStored = !settings.Secret.Known()
 	for _, option := range options {
 		option(n)
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -92,11 +92,27 @@
 	// Revision is the revision of the configuration in force.
 	Revision uint64
 	Service  string
+	// Settings tells which version of the settings file is in force.
+	Settings Settings
 	Version  string
 	Waiting  int
 	Zone     string
 }
 
+// Settings is the state of a node's settings.
+type Settings struct {
+	// Digest is a hash of those settings in force that all nodes of a fleet should have
+	// in common.
+	Digest string
+	// LoadedAt is when the settings in force were read.
+	LoadedAt time.Time
+	// Pending are the names of changed settings that take effect only after a restart.
+	Pending []string `json:",omitempty"`
+	// Rejected is the error of a later version of the settings file that is not valid,
+	// empty if there is none.
+	Rejected string `json:",omitempty"`
+}
+
 // Client gets the status of nodes.
 type Client struct {
 	http *http.Client
