Split the node's secret, watch and servers into files of their own

Change: moved only; a doc comment is wrapped again. Conclusion: no behaviour changes; the package's tests pass.

--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
 	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/process/store"
-	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 )
 
@@ -26,20 +23,12 @@
 	// availability zone, taken together, call the platform while it does not answer
 	// and their peers do not confirm their feeds either.
 	zoneCallInterval = 100 * time.Millisecond
-	// answerTimeout limits the call that finds out whether the platform answers.
-	answerTimeout = 600 * time.Millisecond
 	// firstFeedWait is how long a node that starts waits for its peers to send it a
 	// feed before it calls the platform itself.
 	firstFeedWait = time.Second
 	// firstJoinWait is how long a node that starts tries to join at peers before it
 	// follows the platform's store without them.
 	firstJoinWait = 500 * time.Millisecond
-	// secretPoll is the mean interval at which nodes look for the secret at the first
-	// start of the whole fleet, until it exists.
-	secretPoll = 150 * time.Millisecond
-	// secretSpread is the maximum random time after which a node creates the secret at
-	// the first start of the whole fleet, so that most nodes find it created.
-	secretSpread = time.Second
 	// staleAfter is the age at which a feed is stale. The node then calls the
 	// platform itself. In a fleet of 5,700 nodes that is in order, no feed gets as old:
 	// a poll lasts up to pollWait, and its result passes up to 30 nodes, each of which
@@ -52,18 +41,6 @@
 // platform's store. The other nodes get changes from their peers.
 const watchersPerZone = 1
 
-// A long poll of the platform's store may miss a change if the platform drops its
-// history meanwhile, or if its connection goes silent. The next poll then reveals it.
-const (
-	// pollWait is the maximum duration of a long poll. It limits how long nodes may be
-	// unaware of a new holder of an allocator.
-	pollWait = 5 * time.Second
-	// checkInterval is the interval at which the catalog is read during a long poll.
-	// Together with answerTimeout it is less than the two seconds within which a change
-	// of the catalog must be in force.
-	checkInterval = 700 * time.Millisecond
-)
-
 // feed is a part of the platform's store that the node keeps a copy of.
 type feed struct {
 	checked  string // key of an object that is read during a long poll, empty for none
@@ -108,13 +85,13 @@
 	workers.Wait()
 }
 
-// follow keeps a feed up to date, beginning at the time start. A node that watches the platform's store polls it
-// all the time. Any other node gets changes from its peers, and polls the store only
-// while it is isolated or its feed is stale. If a poll fails and the platform does not
-// answer another call either, the node asks others to watch. It then waits: as a watching or isolated node with exponential backoff, and
-// otherwise for a random time that grows with the number of nodes in the
-// availability zone, so that all of them together call at most every
-// zoneCallInterval, on average.
+// follow keeps a feed up to date, beginning at the time start. A node that watches the
+// platform's store polls it all the time. Any other node gets changes from its peers,
+// and polls the store only while it is isolated or its feed is stale. If a poll fails
+// and the platform does not answer another call either, the node asks others to watch.
+// It then waits: as a watching or isolated node with exponential backoff, and otherwise
+// for a random time that grows with the number of nodes in the availability zone, so
+// that all of them together call at most every zoneCallInterval, on average.
 func (n *Node) follow(ctx context.Context, start time.Time, f feed) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
@@ -161,16 +138,6 @@
 	return now.Sub(start) >= firstFeedWait
 }
 
-// platformAnswers reports whether the platform answers a cheap call within
-// answerTimeout. A failed watch alone does not show that it does not, because the
-// platform drops waiting watches together with its history.
-func (n *Node) platformAnswers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	_, err := n.store.List(ctx, kinds.PrefixSeeds, store.WithStale())
-	return err == nil
-}
-
 // poll calls the platform's store once and applies what it returns: the changes since
 // the feed's revision, for which the call waits up to pollWait, or all objects if there
 // is no revision yet or the store no longer knows the changes since it. If objects
@@ -202,56 +169,6 @@
 	return nil
 }
 
-// errMissedChange means that a long poll has missed a change.
-var errMissedChange = errors.New("the poll missed a change")
-
-// watch polls the changes of a feed since a revision. If the feed has an object to
-// check, it reads that at each checkInterval; a newer version, or a failed read, ends
-// the poll. It returns store.ErrGone for a missed change, because then the changes
-// since the revision may be gone as well.
-func (n *Node) watch(ctx context.Context, f feed, from uint64) (store.Listing, error) {
-	if f.checked == "" {
-		return n.store.Watch(ctx, f.prefix, from, pollWait)
-	}
-	pollCtx, cancel := context.WithCancelCause(ctx)
-	var checker conc.WaitGroup
-	checker.Go(func() {
-		if err := n.checkDuring(pollCtx, f); err != nil {
-			cancel(err)
-		}
-	})
-	listing, err := n.store.Watch(pollCtx, f.prefix, from, pollWait)
-	cause := context.Cause(pollCtx)
-	cancel(nil)
-	checker.Wait()
-	switch {
-	case err == nil || cause == nil || ctx.Err() != nil:
-		return listing, err
-	case errors.Is(cause, errMissedChange):
-		return store.Listing{}, store.ErrGone
-	}
-	return store.Listing{}, trace.Wrap(cause)
-}
-
-// checkDuring reads a feed's object at each checkInterval until the context ends or a
-// read fails. It returns errMissedChange if it has read a newer version than the
-// feed's.
-func (n *Node) checkDuring(ctx context.Context, f feed) error {
-	for sleep(ctx, checkInterval) {
-		readCtx, cancel := context.WithTimeout(ctx, answerTimeout)
-		object, err := n.store.Get(readCtx, f.checked, store.WithStale())
-		cancel()
-		switch {
-		case ctx.Err() != nil || errors.Is(err, store.ErrNotFound):
-		case err != nil:
-			return trace.Wrap(err)
-		case object.Version > f.holder.Object(f.checked).Version:
-			return errMissedChange
-		}
-	}
-	return nil
-}
-
 // logStoreState takes the result of a call to the platform's store, and logs when
 // calls begin to fail and when they succeed again.
 func (n *Node) logStoreState(err error) {
@@ -262,64 +179,3 @@
 		n.log.Info().Msg("the platform's store answers again")
 	}
 }
-
-// obtainSecret waits until the secret of the fleet is known. If it is not in the
-// settings, the node reads it from the platform's store, with exponential backoff
-// between the attempts; meanwhile another node may supply it.
-func (n *Node) obtainSecret(ctx context.Context) {
-	createAt := time.Now()
-	if n.settings.Load().FirstStart {
-		createAt = createAt.Add(rand.N(secretSpread))
-	}
-	backoff := minBackoff
-	for ctx.Err() == nil && !n.settings.Load().Secret.Known() {
-		found, err := n.readSecret(ctx, !time.Now().Before(createAt))
-		n.logStoreState(err)
-		switch {
-		case found:
-			return
-		case err == nil:
-			sleep(ctx, secretPoll/2+rand.N(secretPoll))
-		default:
-			sleep(ctx, backoff/2+rand.N(backoff))
-			backoff = min(backoff*2, maxBackoff)
-		}
-	}
-}
-
-// readSecret reads the secret from the platform's store and reports whether there was
-// one. A stale read suffices, because the secret never changes. If it finds none, the
-// secret may still exist, which the condition of the write that creates one settles;
-// readSecret does that only if create is set.
-func (n *Node) readSecret(ctx context.Context, create bool) (found bool, err error) {
-	object, err := n.store.Get(ctx, kinds.SecretKey, store.WithStale())
-	if errors.Is(err, store.ErrNotFound) {
-		if !create {
-			return false, nil
-		}
-		object, err = n.createSecret(ctx)
-	}
-	if err != nil {
-		return false, trace.Wrap(err)
-	}
-	var secret kinds.Secret
-	if err := kinds.Decode(object.Value, &secret); err != nil {
-		return false, trace.Wrap(err)
-	}
-	return true, trace.Wrap(n.settings.Load().Secret.Set(secret.Text))
-}
-
-// createSecret stores a random secret and returns its object. If another node has
-// stored one before, it returns that one.
-func (n *Node) createSecret(ctx context.Context) (store.Object, error) {
-	value, err := kinds.Encode(&kinds.Secret{Text: cryptorand.Text()})
-	if err != nil {
-		return store.Object{}, trace.Wrap(err)
-	}
-	version, err := n.store.Put(ctx, kinds.SecretKey, value, 0)
-	if errors.Is(err, store.ErrConflict) {
-		object, err := n.store.Get(ctx, kinds.SecretKey)
-		return object, trace.Wrap(err)
-	}
-	return store.Object{Key: kinds.SecretKey, Value: value, Version: version}, trace.Wrap(err)
-}
