Admit fractions of a request at entries with few requests

Cause: limits at the entries were whole numbers, at least 1 for each route and node and 3 for less important ones, changed at most by a tenth for each request that came, and by a wait that was forgotten after 0.2 s. Change: the smallest limit and step are shares of the requests in the graph without a limit, 1.6 for the highest rank and half for each below; what is left below one request is admitted with a chance; changes count for the time passed; the wait holds until the next answer is overdue, up to 0.4 s; a less important route counts while it had requests in the last second. Random numbers can be set for tests. TestAdmitCaller fixes the random number, as one request below a limit of less than one is now admitted with a chance; it checks the same.

--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -19,30 +19,54 @@
 // Parameters of a limit.
 const (
 	// interval is the shortest time between two changes of a limit, several times
-	// the service time of short requests.
-	interval = 50 * time.Millisecond
+	// the service time of short requests. A change after a longer time is that of as
+	// many intervals, up to maxIntervals: an entry with few requests changes its limit
+	// rarely.
+	interval     = 50 * time.Millisecond
+	maxIntervals = 10
 	// maxDecrease is the largest fraction by which a limit falls in one interval. A
 	// lower limit takes a few intervals to show in the wait, as the requests that
 	// were admitted before still run.
 	maxDecrease = 0.1
 	// maxIncrease is the largest fraction by which a limit grows in one interval, and
 	// maxIncreaseIdle the largest if requests hardly wait. A small limit may grow by
-	// up to 1.
+	// up to the limit's step.
 	maxIncrease     = 0.1
 	maxIncreaseIdle = 0.25
 	// idleRatio is the fraction of the allowed wait up to which maxIncreaseIdle
 	// applies.
 	idleRatio = 0.1
-	// minLimit admits single requests, which show whether there is capacity again.
-	minLimit = 1
-	// lessImportantFloor is the limit that less important routes are lowered to
-	// before the limit of a more important route falls.
-	lessImportantFloor = 3
+	// maxStep and minStep bound the step of a limit, which is its smallest value and the
+	// smallest amount by which it grows. A step admits the requests that show whether
+	// there is capacity again. Steps of less than a request keep many entries with few
+	// requests each from admitting more together than few entries with many requests.
+	maxStep = 1
+	minStep = 0.05
+	// maxWaitAge is the longest time for which the wait that a response reported counts
+	// at an entry that gets responses rarely.
+	maxWaitAge = 400 * time.Millisecond
+	// maxIdle is the time since its last request after which a route no longer counts as
+	// one whose limit could fall.
+	maxIdle = time.Second
+	// demandTimeConstant is the time constant of the average of the requests that are
+	// in flight without a limit.
+	demandTimeConstant = 2 * time.Second
+	// lessImportantFloor is the number of steps that the limit of a less important
+	// route is lowered to before the limit of a more important route falls.
+	lessImportantFloor = 1.2
 	// saturatedRatio is the fraction of the limit in use from which the limit counts
 	// as saturated, as it may then be what holds requests back.
 	saturatedRatio = 0.8
 )
 
+// The step of a limit for the highest importance, as a fraction of the requests in
+// flight without a limit, and its ratio from one importance to the next lower one. The
+// most important requests keep the largest share; above 1, few of them are refused.
+const (
+	maxStepFraction = 1.6
+	stepRatio       = 0.5
+)
+
 // The wait allowed for requests of the highest importance, its ratio from one
 // importance to the next lower one, and its minimum. The less important requests
 // are, the sooner they are refused.
@@ -66,23 +90,41 @@
 // Limits holds a concurrency limit for each route. No other lock is acquired
 // while its lock is held.
 type Limits struct {
+	random func() float64 // at least 0 and less than 1
+
 	mu     sync.Mutex
 	routes map[string]*limit
 }
 
+// Option configures Limits in New.
+type Option func(*Limits)
+
+// WithRandom sets the source of random numbers, which must be at least 0 and less
+// than 1.
+func WithRandom(random func() float64) Option {
+	return func(l *Limits) { l.random = random }
+}
+
 // limit limits the admitted requests of a route that are not answered yet.
 type limit struct {
 	adaptedAt   time.Time
+	demand      float64 // average of the requests in flight without a limit
+	enteredAt   time.Time
 	importance  int
 	inFlight    int
 	maxInFlight float64
-	peak        int // most requests in flight since adaptedAt
+	peak        int  // most requests in flight since adaptedAt
+	refused     bool // a request was refused since adaptedAt
 	wait        *gates.WaitAverage
 }
 
 // New returns Limits that admit all requests until requests wait too long.
-func New() *Limits {
-	return &Limits{routes: make(map[string]*limit)}
+func New(options ...Option) *Limits {
+	l := &Limits{random: rand.Float64, routes: make(map[string]*limit)}
+	for _, option := range options {
+		option(l)
+	}
+	return l
 }
 
 // Enter reports whether a request is admitted. If it is, Leave must be called
@@ -93,10 +135,12 @@
 	defer l.mu.Unlock()
 	lim := l.forRoute(now, r.Route)
 	lim.importance = r.Importance
+	lim.observeDemand(now)
 	l.adapt(now, lim)
-	if float64(lim.inFlight) >= lim.maxInFlight {
+	if !lim.hasRoom(l.random()) {
 		lim.peak = max(lim.peak, lim.inFlight)
-		return jitteredRetryAfter(r.Objective), false
+		lim.refused = true
+		return jitteredRetryAfter(r.Objective, l.random()), false
 	}
 	lim.inFlight++
 	lim.peak = max(lim.peak, lim.inFlight)
@@ -151,7 +195,7 @@
 func (l *Limits) forRoute(now time.Time, route string) *limit {
 	lim := l.routes[route]
 	if lim == nil {
-		lim = &limit{adaptedAt: now, maxInFlight: math.Inf(1), wait: gates.NewWaitAverage()}
+		lim = &limit{adaptedAt: now, enteredAt: now, maxInFlight: math.Inf(1), wait: gates.NewWaitAverage(gates.WithMaxDecayDelay(maxWaitAge))}
 		l.routes[route] = lim
 	}
 	return lim
@@ -163,7 +207,7 @@
 func (l *Limits) lessImportantFirst(now time.Time, lim *limit) bool {
 	wait := lim.wait.Value(now)
 	for _, other := range l.routes {
-		if other.importance < lim.importance && other.maxInFlight > lessImportantFloor && other.inFlight > 0 && other.wait.Value(now) >= wait/2 {
+		if other.importance < lim.importance && other.maxInFlight > lessImportantFloor*other.step() && now.Sub(other.enteredAt) < maxIdle && other.wait.Value(now) >= wait/2 {
 			return true
 		}
 	}
@@ -178,27 +222,62 @@
 		return
 	}
 	excess := lim.wait.Value(now).Seconds()/allowedWait(lim.importance).Seconds() - 1
+	intervals := math.Min(now.Sub(lim.adaptedAt).Seconds()/interval.Seconds(), maxIntervals)
 	switch {
 	case excess <= 0:
-		lim.grow(excess)
+		lim.grow(excess, intervals)
 	case !l.lessImportantFirst(now, lim):
-		lim.maxInFlight = math.Max(math.Min(lim.maxInFlight, float64(lim.peak))*(1-maxDecrease*math.Min(excess, 1)), minLimit)
+		lim.shrink(excess, intervals)
 	}
 	lim.adaptedAt = now
 	lim.peak = lim.inFlight
+	lim.refused = false
+}
+
+// shrink lowers the limit by up to maxDecrease in each interval, but not below one
+// step. The excess is 0 for the allowed wait and 1 for twice that.
+func (lim *limit) shrink(excess, intervals float64) {
+	used := math.Max(float64(lim.peak), lim.step())
+	kept := math.Pow(1-maxDecrease*math.Min(excess, 1), intervals)
+	lim.maxInFlight = math.Max(math.Min(lim.maxInFlight, used)*kept, lim.step())
 }
 
 // grow raises the limit if it is saturated. The shorter the wait, the more it
 // raises it. The excess is -1 for no wait and 0 for the allowed wait.
-func (lim *limit) grow(excess float64) {
-	if float64(lim.peak) < lim.maxInFlight*saturatedRatio {
+func (lim *limit) grow(excess, intervals float64) {
+	if !lim.refused && float64(lim.peak) < lim.maxInFlight*saturatedRatio {
 		return
 	}
 	increase := maxIncrease
 	if excess <= idleRatio-1 {
 		increase = maxIncreaseIdle
 	}
-	lim.maxInFlight += math.Max(lim.maxInFlight*increase, 1) * math.Min(-excess, 1)
+	lim.maxInFlight += math.Max(lim.maxInFlight*increase, lim.step()) * math.Min(-excess, 1) * intervals
+}
+
+// hasRoom reports whether one more request is within the limit. If the rest of the limit
+// is less than a request, it is within the limit with a probability; chance is a random
+// number of at least 0 and less than 1. Where hardly any requests are in flight without
+// a limit, the probability is the limit's share of those.
+func (lim *limit) hasRoom(chance float64) bool {
+	whole := math.Min(math.Max(lim.demand, minStep), 1)
+	return lim.maxInFlight-float64(lim.inFlight) > chance*whole
+}
+
+// observeDemand updates the average of the requests in flight, unless the limit holds
+// requests back.
+func (lim *limit) observeDemand(now time.Time) {
+	weight := 1 - math.Exp(-now.Sub(lim.enteredAt).Seconds()/demandTimeConstant.Seconds())
+	lim.enteredAt = now
+	if float64(lim.inFlight+1) <= lim.maxInFlight {
+		lim.demand += (float64(lim.inFlight) - lim.demand) * weight
+	}
+}
+
+// step returns the smallest limit, and the smallest amount by which it grows.
+func (lim *limit) step() float64 {
+	fraction := maxStepFraction * math.Pow(stepRatio, float64(rows.MaxImportance-lim.importance))
+	return math.Min(math.Max(fraction*lim.demand, minStep), maxStep)
 }
 
 // allowedWait returns how long requests of an importance may wait before the
@@ -226,12 +305,12 @@
 	return time.Duration(maxRetryFraction * float64(objective))
 }
 
-// jitteredRetryAfter returns a random time after which a refused caller should
-// retry.
-func jitteredRetryAfter(objective time.Duration) time.Duration {
+// jitteredRetryAfter returns the time after which a refused caller should retry. It
+// depends on chance, a random number of at least 0 and less than 1.
+func jitteredRetryAfter(objective time.Duration, chance float64) time.Duration {
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*rand.Float64()
+	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*chance
 	return time.Duration(fraction * float64(objective))
 }
--- a/internal/process/admit/admit_test.go
+++ b/internal/process/admit/admit_test.go
@@ -30,7 +30,7 @@
 	records, err := reader.ReadAll()
 	assert.NilError(t, err)
 	for _, record := range records[1:] {
-		t.Run(record[0], func(t *testing.T) {
+		t.Run(record[0]+" "+record[1], func(t *testing.T) {
 			t.Parallel()
 			c := parseCase(t, record)
 			with := newModel(c, true)
@@ -50,6 +50,7 @@
 // chainCase is a row of chains.csv.
 type chainCase struct {
 	name         string
+	entries      int
 	slots        float64
 	work, length time.Duration // mean time of a call, and simulated time
 	calls        int           // of each request
@@ -73,15 +74,14 @@
 	}
 	milliseconds := func(i int) time.Duration { return time.Duration(numbers[i] * float64(time.Millisecond)) }
 	return chainCase{
-		name: record[0], slots: numbers[1], work: milliseconds(2), calls: int(numbers[3]), important: numbers[4], rest: numbers[5], surge: numbers[6],
-		retries: int(numbers[7]), minGoodput: numbers[8], minImportant: numbers[9], minGain: numbers[10], minServedAfter: numbers[11],
+		name: record[0], entries: int(numbers[1]), slots: numbers[2], work: milliseconds(3), calls: int(numbers[4]), important: numbers[5], rest: numbers[6], surge: numbers[7],
+		retries: int(numbers[8]), minGoodput: numbers[9], minImportant: numbers[10], minGain: numbers[11], minServedAfter: numbers[12],
 		length: 30 * time.Second,
 	}
 }
 
 // Parameters that are the same in all cases.
 const (
-	entries  = 6
 	deadline = 2 * time.Second
 	// objective is the time within which a response counts.
 	objective = time.Second
@@ -143,8 +143,11 @@
 	m := &model{chainCase: c, requested: make(map[string]float64), now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), served: make(map[string]float64)}
 	m.start = m.now
 	if admission {
-		for range entries {
-			m.limits = append(m.limits, New())
+		// The limits have a source of their own, so that the same requests arrive
+		// with and without them.
+		random := rand.New(rand.NewPCG(3, 4))
+		for range c.entries {
+			m.limits = append(m.limits, New(WithRandom(random.Float64)))
 		}
 	}
 	return m
@@ -187,7 +190,7 @@
 		return
 	}
 	m.schedule(time.Duration(m.random.ExpFloat64()/m.rate(route)*float64(time.Second)), func() {
-		m.submit(&request{arrived: m.now, entry: m.random.IntN(entries), left: m.calls, retries: m.retries, route: route})
+		m.submit(&request{arrived: m.now, entry: m.random.IntN(m.entries), left: m.calls, retries: m.retries, route: route})
 		m.arrive(route)
 	})
 }
@@ -219,7 +222,7 @@
 // client has retries left.
 func (m *model) retry(r *request) {
 	if r.retries > 0 {
-		m.submit(&request{arrived: m.now, entry: m.random.IntN(entries), left: m.calls, retries: r.retries - 1, route: r.route})
+		m.submit(&request{arrived: m.now, entry: m.random.IntN(m.entries), left: m.calls, retries: r.retries - 1, route: r.route})
 	}
 }
 
--- a/internal/request/relay/admission_test.go
+++ b/internal/request/relay/admission_test.go
@@ -35,6 +35,8 @@
 	r.Catalog = snaps.NewHolder()
 	admitter := &fakeAdmitter{left: 2}
 	r.Admitter = admitter
+	// A limit below one request admits one with a probability. It always does here.
+	r.admission = admit.New(admit.WithRandom(func() float64 { return 0 }))
 	p := &policy{importance: 7, limit: quota.Limit{Burst: 2, Rate: 1}, objective: time.Second, route: "browse"}
 	now := time.Now()
 	doneFirst, refusal := r.admitCaller(t.Context(), now, p)
