--- a/internal/process/gates/wait.go
+++ b/internal/process/gates/wait.go
@@ -53,16 +53,11 @@
 	if !w.at.IsZero() {
 		w.gap += time.Duration(gapSmoothing * float64(min(gap, w.maxDecayDelay)-w.gap))
 	}
-	weight := 1 - math.Exp(-max(gap.Seconds(), minWaitInterval)/w.timeConstant().Seconds())
+	weight := 1 - math.Exp(-max(gap.Seconds(), minWaitInterval)/waitTimeConstant.Seconds())
 	w.mean += (waited.Seconds() - w.mean) * weight
 	w.at = now
 }
 
-// timeConstant returns the time constant of the average, at least the average gap.
-func (w *WaitAverage) timeConstant() time.Duration {
-	return waitTimeConstant
-}
-
 // decayDelay returns how long after the last observation the average starts to decay.
 func (w *WaitAverage) decayDelay() time.Duration {
 	return max(waitDecayDelay, min(decayDelayGaps*w.gap, w.maxDecayDelay))
@@ -78,5 +73,5 @@
 	if idle <= 0 {
 		return time.Duration(w.mean * float64(time.Second))
 	}
-	return time.Duration(w.mean * math.Exp(-idle.Seconds()/w.timeConstant().Seconds()) * float64(time.Second))
+	return time.Duration(w.mean * math.Exp(-idle.Seconds()/waitTimeConstant.Seconds()) * float64(time.Second))
 }
