--- a/internal/cmds/measure/case.go
+++ b/internal/cmds/measure/case.go
@@ -51,6 +51,9 @@
 	if c.Upstreams < 1 || c.Slots < 1 || c.ServiceTime <= 0 || c.Customers < 2 || c.Deadline <= 0 || c.End <= c.Begin || c.Length <= c.End {
 		return nil, trace.BadParameter("%s: want at least 1 upstream, 1 slot and 2 customers, a ServiceTime and a Deadline above 0, and Begin < End < Length", file)
 	}
+	if minBegin := 2 * goodputWindow; c.Begin < minBegin {
+		return nil, trace.BadParameter("%s: Begin %v: want at least %v, as recovery is measured against the goodput before", file, c.Begin, minBegin)
+	}
 	return c, nil
 }
 
