--- a/internal/process/member/zones_test.go
+++ b/internal/process/member/zones_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +25,7 @@
 		sources []string // zones in which one node reads the change from the platform
 		// maxCrossings is the maximum number of copies of the configuration that cross
 		// zones.
-		maxCrossings int
+		maxCrossings int64
 		within       time.Duration
 	}{
 		{"a node of each zone reads the change", []string{"zone0", "zone1", "zone2"}, 0, time.Second},
@@ -36,12 +37,12 @@
 				defer cancel()
 				s := newCluster(ctx, t, 195)
 				time.Sleep(20 * time.Second)
-				crossings := 0
+				var crossings atomic.Int64
 				s.net.OnMessage(func(from, to netip.AddrPort, kind wire.Kind, bytes int) {
 					fromZone, _ := s.nodes[0].table.Zone(from)
 					toZone, _ := s.nodes[0].table.Zone(to)
 					if kind == wire.KindPull && fromZone != toZone && bytes >= size {
-						crossings++
+						crossings.Add(1)
 					}
 				})
 				for _, zone := range c.sources {
@@ -51,8 +52,8 @@
 				}
 				time.Sleep(c.within)
 				assert.Check(t, s.all(func(a *Agent) bool { return a.feeds[0].Snapshot().Revision() == 7 }), "not all nodes have the change after %v", c.within)
-				assert.Check(t, crossings <= c.maxCrossings, "%d copies crossed zones, expected at most %d", crossings, c.maxCrossings)
-				t.Logf("%d copies crossed zones", crossings)
+				assert.Check(t, crossings.Load() <= c.maxCrossings, "%d copies crossed zones, expected at most %d", crossings.Load(), c.maxCrossings)
+				t.Logf("%d copies crossed zones", crossings.Load())
 				cancel()
 				time.Sleep(time.Minute)
 			})
@@ -64,7 +65,8 @@
 // each node: while a large fleet starts, that is most of the traffic between zones.
 func TestNewsCrossings(t *testing.T) {
 	for _, c := range []struct {
-		nodes, maxCrossings int
+		nodes        int
+		maxCrossings int64
 	}{
 		{12, 60},
 		{195, 100},
@@ -75,19 +77,19 @@
 				defer cancel()
 				s := newCluster(ctx, t, c.nodes)
 				time.Sleep(20 * time.Second)
-				crossings := 0
+				var crossings atomic.Int64
 				s.net.OnMessage(func(from, to netip.AddrPort, kind wire.Kind, _ int) {
 					fromZone, _ := s.nodes[0].table.Zone(from)
 					toZone, _ := s.nodes[0].table.Zone(to)
 					if kind == wire.KindNews && fromZone != toZone {
-						crossings++
+						crossings.Add(1)
 					}
 				})
 				known := s.trigger(ctx, "node drains")
 				time.Sleep(time.Second)
 				assert.Check(t, s.all(known), "not all nodes know that a node drains")
-				assert.Check(t, crossings <= c.maxCrossings, "the record crossed zones %d times, expected at most %d", crossings, c.maxCrossings)
-				t.Logf("the record crossed zones %d times", crossings)
+				assert.Check(t, crossings.Load() <= c.maxCrossings, "the record crossed zones %d times, expected at most %d", crossings.Load(), c.maxCrossings)
+				t.Logf("the record crossed zones %d times", crossings.Load())
 				cancel()
 				time.Sleep(time.Minute)
 			})
