--- a/internal/fakes/objapi/memory.go
+++ b/internal/fakes/objapi/memory.go
@@ -56,7 +56,7 @@
 	m.server.mu.Lock()
 	defer m.server.mu.Unlock()
 	if stale && m.server.faults.StaleEmpty {
-		return store.Listing{}, nil
+		return store.Listing{Era: m.server.era}, nil
 	}
 	return m.server.changes(prefix, 0), nil
 }
--- a/internal/fakes/objapi/objapi.go
+++ b/internal/fakes/objapi/objapi.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -73,8 +74,9 @@
 	router *httprouter.Router
 
 	mu          sync.Mutex
-	changed     chan struct{} // closed and replaced when objects or faults change
+	changed     chan struct{} // closed and replaced when objects, the era or faults change
 	counts      Counts
+	era         uint64 // number of restores
 	faults      Faults
 	objects     map[string]store.Object // by key; a deleted object has no value
 	revision    uint64
@@ -98,7 +100,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.router.ServeHTTP(w, r)
+	s.router.ServeHTTP(eraWriter{ResponseWriter: w, server: s}, r)
 }
 
 // SetFaults replaces the faults, also for watches that are waiting.
@@ -110,6 +112,31 @@
 	s.changed = make(chan struct{})
 }
 
+// Copy is a copy of a Server's objects, from which it can be restored.
+type Copy struct {
+	objects  map[string]store.Object
+	revision uint64
+}
+
+// Copy returns a copy of the objects.
+func (s *Server) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{objects: maps.Clone(s.objects), revision: s.revision}
+}
+
+// Restore replaces the objects by those of a copy and begins a new era. Changes made
+// since the copy are lost and their revisions are assigned again. Watches that wait are
+// cut off.
+func (s *Server) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.revision = maps.Clone(c.objects), c.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Counts returns the numbers of calls received.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
@@ -192,7 +219,7 @@
 	s.mu.Lock()
 	listing := s.changes(params.ByName("kind")+"/", 0)
 	if s.faults.StaleEmpty && mayBeStale(r) {
-		listing = store.Listing{}
+		listing = store.Listing{Era: listing.Era}
 	}
 	s.mu.Unlock()
 	page := objs.Listing{Revision: listing.Revision}
@@ -318,15 +345,18 @@
 func (s *Server) awaitChanges(ctx context.Context, prefix string, from uint64, wait time.Duration) (store.Listing, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		listing := s.changes(prefix, from)
 		changed, faults := s.changed, s.faults
 		s.mu.Unlock()
 		switch {
-		case faults.Down:
+		case faults.Down || listing.Era != era:
 			return store.Listing{}, errUnreachable
-		case from < faults.Forget:
+		case from < faults.Forget || from > listing.Revision:
 			return store.Listing{}, store.ErrGone
 		case len(listing.Objects) > 0:
 			return listing, nil
@@ -353,7 +383,7 @@
 // changes returns the latest state of the objects with a prefix that changed after
 // a revision, deleted ones included, sorted by key. s.mu must be held.
 func (s *Server) changes(prefix string, from uint64) store.Listing {
-	listing := store.Listing{Revision: s.revision}
+	listing := store.Listing{Era: s.era, Revision: s.revision}
 	for key, object := range s.objects {
 		if strings.HasPrefix(key, prefix) && object.Version > from {
 			listing.Objects = append(listing.Objects, object)
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	n.logStoreEra(f, listing)
 	if f.holder.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
 		f.holder.MarkFresh(listing.Revision, sent)
 		if len(listing.Objects) > 0 {
@@ -169,6 +170,16 @@
 	return nil
 }
 
+// logStoreEra takes what a poll of a feed returned, and logs when the platform's store has
+// been restored from an older copy.
+func (n *Node) logStoreEra(f feed, listing store.Listing) {
+	if before := n.storeEra.Swap(listing.Era + 1); before == 0 || before == listing.Era+1 {
+		return
+	}
+	n.log.Warn().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("HeldRevision", f.holder.Snapshot().Revision()).
+		Msg("the platform's store was restored from an older copy")
+}
+
 // logStoreState takes the result of a call to the platform's store, and logs when
 // calls begin to fail and when they succeed again.
 func (n *Node) logStoreState(err error) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -81,6 +81,8 @@
 	flushSpans func(context.Context) error
 	stats      *stats.Stats
 	store      *store.Counted
+	// storeEra is the last known era of the platform's store, plus 1; 0 if none is known.
+	storeEra atomic.Uint64
 	// storeFailed is true if the last call to the platform's store failed.
 	storeFailed atomic.Bool
 	table       *member.Table
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -33,6 +33,10 @@
 
 // Listing is a set of objects as of a revision of the store.
 type Listing struct {
+	// Era is the number of times that the store has been restored from an older copy, as
+	// the store counts them. A restored store has lost its latest changes and assigns
+	// their revisions again, so revisions and versions of different eras do not compare.
+	Era      uint64
 	Objects  []Object
 	Revision uint64
 }
