Add a failing test of a store that is restored from an older copy

TestStoreRestored runs a fleet in virtual time, lets the operator write versions, restores the store from a copy made before them and lets the operator write them again, and newer ones. Bounds are the users' config_ms (2 s) and stability_window_ms (3 s).

--- a/internal/process/node/restore_test.go
+++ b/internal/process/node/restore_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/csv"
 	"net/netip"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +17,7 @@
 	"github.com/wasabibend/wasabibend/internal/fakes/mesh"
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
+	"github.com/wasabibend/wasabibend/internal/process/store"
 )
 
 // TestLogStoreEra guards against a restored store that leaves no trace in the logs.
@@ -40,3 +44,153 @@
 		assert.Equal(t, strings.Count(logged.String(), "restored from an older copy"), 1, logged.String())
 	})
 }
+
+const (
+	// configBound is the time within which a confirmed configuration must be in force.
+	configBound = 2 * time.Second
+	// stabilityWindow is the time after the end of a disruption during which the bounds
+	// do not hold.
+	stabilityWindow = 3 * time.Second
+	// storeDelay is the time that the platform's store takes to answer.
+	storeDelay = 4 * time.Millisecond
+)
+
+// TestStoreRestored runs the cases of testdata/restores.csv in virtual time. It guards
+// against a configuration that is not in force, or comes back older, after the platform's
+// store was restored from an older copy: the store then assigns revisions again that nodes
+// have already seen.
+func TestStoreRestored(t *testing.T) {
+	in, err := os.Open("testdata/restores.csv")
+	assert.NilError(t, err)
+	defer in.Close()
+	records, err := csv.NewReader(in).ReadAll()
+	assert.NilError(t, err)
+	for _, record := range records[1:] {
+		t.Run(record[0], func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runRestore(t, record) })
+		})
+	}
+}
+
+// runRestore runs one record. Its fields are the name, the number of nodes, the number of
+// versions that the operator writes after the copy is made, how long the store is away,
+// whether the operator writes the lost versions again, and a fault of nodes.
+func runRestore(t *testing.T, record []string) {
+	number := func(field string) int {
+		n, err := strconv.Atoi(field)
+		assert.NilError(t, err)
+		return n
+	}
+	nodes, lost, fault := number(record[1]), uint64(number(record[2])), record[5]
+	f := newCallFleet(nodes)
+	f.platform.SetFaults(objapi.Faults{Delay: storeDelay})
+	operator := f.platform.NewMemoryStore()
+	f.write(t, operator, 1)
+	f.start(t, true)
+	time.Sleep(20 * time.Second)
+	stopWatch := f.watchVersions(t)
+	backup := f.platform.Copy()
+	for version := range lost {
+		f.write(t, operator, version+2)
+		time.Sleep(configBound)
+		f.checkVersion(t, version+2)
+	}
+	if fault == "zone-off" {
+		f.setZoneOff("zone4", true)
+	}
+	f.platform.SetFaults(objapi.Faults{Down: true})
+	time.Sleep(time.Duration(number(record[3])) * time.Millisecond)
+	f.platform.Restore(backup)
+	f.platform.SetFaults(objapi.Faults{Delay: storeDelay})
+	if fault == "restart" {
+		stopWatch()
+		f.stop()
+		f.start(t, false)
+		stopWatch = f.watchVersions(t)
+	}
+	if record[4] == "true" {
+		for version := range lost {
+			f.write(t, operator, version+2)
+		}
+	}
+	time.Sleep(stabilityWindow)
+	if fault == "zone-off" {
+		time.Sleep(5 * time.Second)
+		f.setZoneOff("zone4", false)
+		time.Sleep(stabilityWindow + configBound)
+	}
+	for version := range uint64(4) {
+		f.write(t, operator, lost+2+version)
+		time.Sleep(configBound)
+		f.checkVersion(t, lost+2+version)
+	}
+	stopWatch()
+	t.Logf("calls: %+v", f.platform.Counts())
+	f.stop()
+}
+
+// write writes a version of the catalog.
+func (f *callFleet) write(t *testing.T, operator store.Store, version uint64) {
+	t.Helper()
+	var expected uint64
+	if object, err := operator.Get(t.Context(), catalogKey); err == nil {
+		expected = object.Version
+	}
+	_, err := operator.Put(t.Context(), catalogKey, []byte(strconv.FormatUint(version, 10)), expected)
+	assert.NilError(t, err)
+}
+
+// checkVersion checks that all nodes have at least the given version of the catalog.
+func (f *callFleet) checkVersion(t *testing.T, version uint64) {
+	t.Helper()
+	behind := 0
+	for _, n := range f.nodes {
+		if n.catalog.Snapshot().CatalogVersion() < version {
+			behind++
+		}
+	}
+	assert.Check(t, behind == 0, "%d of %d nodes do not have version %d", behind, len(f.nodes), version)
+}
+
+// watchVersions checks from now on that the version of the catalog never decreases on a
+// node. The function that it returns ends that.
+func (f *callFleet) watchVersions(t *testing.T) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		latest := make([]uint64, len(f.nodes))
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			for i, n := range f.nodes {
+				version := n.catalog.Snapshot().CatalogVersion()
+				assert.Check(t, version >= latest[i], "%v went back from version %d to %d", n.table.Self().Peers, latest[i], version)
+				latest[i] = version
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// setZoneOff sets whether the nodes of an availability zone are cut off from the
+// platform and from the other zones.
+func (f *callFleet) setZoneOff(zone string, off bool) {
+	for i, a := range f.nodes {
+		if a.settings.Load().Zone != zone {
+			continue
+		}
+		f.stores[i].SetUnreachable(off)
+		for _, b := range f.nodes {
+			if b.settings.Load().Zone != zone {
+				f.net.SetPartitioned(a.settings.Load().Peers, b.settings.Load().Peers, off)
+			}
+		}
+	}
+}
--- a/internal/process/node/storecalls_test.go
+++ b/internal/process/node/storecalls_test.go
@@ -64,13 +64,19 @@
 	catalogKey = "config/main"
 )
 
-// runStoreCalls starts a fleet, triggers the event and checks the calls made during it
-// and that all nodes then have the latest catalog.
-func runStoreCalls(t *testing.T, event string, size int, maxCalls float64) {
+// newCallFleet returns a fleet of which no node runs yet.
+func newCallFleet(size int) *callFleet {
 	f := &callFleet{net: mesh.NewNetwork(time.Millisecond), platform: objapi.New()}
 	for i := range size {
 		f.addresses = append(f.addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i%250 + 1)}), 8001))
 	}
+	return f
+}
+
+// runStoreCalls starts a fleet, triggers the event and checks the calls made during it
+// and that all nodes then have the latest catalog.
+func runStoreCalls(t *testing.T, event string, size int, maxCalls float64) {
+	f := newCallFleet(size)
 	operator := f.platform.NewMemoryStore()
 	version, err := operator.Put(t.Context(), catalogKey, []byte("1"), 0)
 	assert.NilError(t, err)
@@ -164,7 +170,7 @@
 // newFollowingNode returns a Node that has the parts that follow the platform.
 func newFollowingNode(ctx context.Context, net *mesh.Node, platform store.Store, settings *setup.Settings) *Node {
 	n := &Node{
-		catalog:      snaps.NewHolder(snaps.WithCatalog(catalogKey, func([]byte) (*rows.Catalog, error) { return &rows.Catalog{Version: 1}, nil })),
+		catalog:      snaps.NewHolder(snaps.WithCatalog(catalogKey, decodeVersion)),
 		catalogKey:   catalogKey,
 		config:       snaps.NewHolder(),
 		ctx:          ctx,
@@ -186,6 +192,12 @@
 	return n
 }
 
+// decodeVersion decodes a catalog that is only its version, as decimal digits.
+func decodeVersion(value []byte) (*rows.Catalog, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	return &rows.Catalog{Version: version}, err
+}
+
 // TestSecretStale guards against a second secret: a node whose stale read does not find
 // the secret must not replace it.
 func TestSecretStale(t *testing.T) {
