Order copies of the store by its era before its revision

Cause: every order between copies of the store rested on its revision. When the platform restores its store from an older copy, revisions go back and are assigned again. A complete listing then had a lower revision than the node's and was dropped whole, each later change was ignored until the revision had passed the old one, and changes below it were missed for good. Peers compared revisions alone, so the lost state looked newer.

Change: a position is an era and a revision, in this order, in holders, deltas, pings and pulls. A change of era takes a complete listing. A value held stays in force if it is newer by the order of its own kind (catalog version, time of an edit, term), which keeps accepted versions in force until the operators have written them again. The check during a long poll reads the feed's objects instead of one object and compares the era.

TestHolderRestored and TestSinceRestored hold the parts without a fleet.

--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
 	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 )
 
@@ -66,12 +67,12 @@
 	lags        []lag                  // by feed
 }
 
-// lag says that nodes of other availability zones have a newer revision of a feed than
+// lag says that nodes of other availability zones have a newer position of a feed than
 // the node.
 type lag struct {
 	peer     netip.AddrPort // a node that is ahead
+	position store.Position // the node's own
 	pullAt   time.Time      // from when the node may pull from another zone
-	revision uint64         // the node's own
 }
 
 // NewAgent returns an Agent and registers its handlers on the mesh. The feeds must
@@ -204,14 +205,14 @@
 func (a *Agent) pullAll(ctx context.Context, peer netip.AddrPort) bool {
 	changed := false
 	for i, feed := range a.feeds {
-		before := feed.Snapshot().Revision()
+		before := feed.Snapshot().Position()
 		if !a.sameZone(peer) && !a.lagsLong(time.Now(), i) {
 			continue
 		}
 		if err := a.pull(ctx, peer, i); err != nil {
 			a.log.Debug().Err(err).Stringer("Peer", peer).Int("Feed", i).Msg("pulling a feed from a peer failed")
 		}
-		changed = changed || feed.Snapshot().Revision() > before
+		changed = changed || before.Before(feed.Snapshot().Position())
 	}
 	return changed
 }
@@ -288,13 +289,13 @@
 	a.mu.Unlock()
 	a.compareDigests(ctx, peer, answer.Digest)
 	for i, state := range answer.Feeds[:min(len(answer.Feeds), len(a.feeds))] {
-		if a.mayPull(sent, peer, i, state.Revision) {
+		if a.mayPull(sent, peer, i, state.Position()) {
 			if err := a.pull(ctx, peer, i); err != nil {
 				return trace.Wrap(err)
 			}
 		}
 		if state.Age >= 0 {
-			a.feeds[i].MarkFresh(state.Revision, sent.Add(-state.Age))
+			a.feeds[i].MarkFresh(state.Position(), sent.Add(-state.Age))
 		}
 	}
 	return nil
@@ -351,13 +352,13 @@
 }
 
 // pull fetches the changes of a feed from a peer until the peer has none that are
-// newer. An answer that exceeds maxDeltaBytes ends with an older revision, from which
+// newer. An answer that exceeds maxDeltaBytes ends with an older position, from which
 // the next call continues.
 func (a *Agent) pull(ctx context.Context, peer netip.AddrPort, feed int) error {
 	for {
-		from := a.feeds[feed].Snapshot().Revision()
+		held := a.feeds[feed].Snapshot().Position()
 		var delta snaps.Delta
-		if err := a.mesh.Call(ctx, peer, wire.KindPull, Pull{Feed: feed, From: from}, &delta); err != nil {
+		if err := a.mesh.Call(ctx, peer, wire.KindPull, Pull{Era: held.Era, Feed: feed, From: held.Revision}, &delta); err != nil {
 			return trace.Wrap(err)
 		}
 		if !a.feeds[feed].Apply(delta) {
@@ -383,7 +384,8 @@
 func (a *Agent) newPing(now time.Time) Ping {
 	p := Ping{Digest: a.table.Digest(), Feeds: make([]FeedState, len(a.feeds))}
 	for i, feed := range a.feeds {
-		p.Feeds[i] = FeedState{Age: -1, Revision: feed.Snapshot().Revision()}
+		held := feed.Snapshot().Position()
+		p.Feeds[i] = FeedState{Age: -1, Era: held.Era, Revision: held.Revision}
 		if age, ok := feed.Age(now); ok {
 			p.Feeds[i].Age = age
 		}
@@ -400,7 +402,7 @@
 	}
 	now := time.Now()
 	for i, state := range ping.Feeds[:min(len(ping.Feeds), len(a.feeds))] {
-		if a.mayPull(now, from, i, state.Revision) {
+		if a.mayPull(now, from, i, state.Position()) {
 			a.enqueue(from, nil)
 		}
 	}
@@ -427,7 +429,7 @@
 	if pull.Feed >= len(a.feeds) {
 		return nil, trace.NotFound("the feed %d is not followed here", pull.Feed)
 	}
-	return a.feeds[pull.Feed].Since(pull.From, maxDeltaBytes), nil
+	return a.feeds[pull.Feed].Since(store.Position{Era: pull.Era, Revision: pull.From}, maxDeltaBytes), nil
 }
 
 // handleSync answers with the node's digests and the records of the buckets that
--- a/internal/process/member/messages.go
+++ b/internal/process/member/messages.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/wasabibend/wasabibend/internal/process/store"
 )
 
 // maxFeeds is the maximum number of feeds that a message may refer to.
@@ -36,10 +38,17 @@
 	// Age is the time since the revision was last known to be the current one of
 	// the store. It is negative if it never was.
 	Age time.Duration
+	// Era is the store's era of Revision.
+	Era uint64 `cbor:",omitempty"`
 	// Revision is the revision in force.
 	Revision uint64
 }
 
+// Position returns the position of the copy.
+func (s *FeedState) Position() store.Position {
+	return store.Position{Era: s.Era, Revision: s.Revision}
+}
+
 // News carries records that changed, or that the receiver is missing.
 type News struct {
 	Records []Record
@@ -79,9 +88,10 @@
 	return nil
 }
 
-// Pull asks for the changes of a feed after the revision From.
+// Pull asks for the changes of a feed after the revision From of an era of the store.
 type Pull struct {
-	Feed int `cbor:",omitempty"`
+	Era  uint64 `cbor:",omitempty"`
+	Feed int    `cbor:",omitempty"`
 	From uint64
 }
 
--- a/internal/process/member/zones.go
+++ b/internal/process/member/zones.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/internal/process/store"
 )
 
 const (
@@ -27,11 +28,11 @@
 const zonePulls = 2
 
 // mayPull reports whether the node may pull a feed now from a peer that has the given
-// revision of it. It may if the peer is ahead and in the same availability zone, or if
+// position of it. It may if the peer is ahead and in the same availability zone, or if
 // the node has lagged long. Otherwise it starts to lag, and tries again later.
-func (a *Agent) mayPull(now time.Time, peer netip.AddrPort, feed int, revision uint64) bool {
-	own := a.feeds[feed].Snapshot().Revision()
-	if revision <= own {
+func (a *Agent) mayPull(now time.Time, peer netip.AddrPort, feed int, position store.Position) bool {
+	own := a.feeds[feed].Snapshot().Position()
+	if !own.Before(position) {
 		return false
 	}
 	if a.sameZone(peer) || a.lagsLong(now, feed) {
@@ -39,8 +40,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if l := &a.lags[feed]; l.pullAt.IsZero() || l.revision != own {
-		*l = lag{peer: peer, pullAt: now.Add(crossZonePullDelay + rand.N(crossZonePullJitter)), revision: own}
+	if l := &a.lags[feed]; l.pullAt.IsZero() || l.position != own {
+		*l = lag{peer: peer, position: own, pullAt: now.Add(crossZonePullDelay + rand.N(crossZonePullJitter))}
 		select {
 		case a.lagged <- feed:
 		default: // the lag is found at the next ping
@@ -63,7 +64,7 @@
 			if pause.For(ctx, time.Until(l.pullAt)) != nil {
 				return
 			}
-			if a.feeds[feed].Snapshot().Revision() == l.revision {
+			if a.feeds[feed].Snapshot().Position() == l.position {
 				a.enqueue(l.peer, nil)
 			}
 		}
@@ -79,11 +80,11 @@
 // lagsLong reports whether the node has lagged behind nodes of other availability zones
 // in a feed until its time to pull from them, without any progress.
 func (a *Agent) lagsLong(now time.Time, feed int) bool {
-	own := a.feeds[feed].Snapshot().Revision()
+	own := a.feeds[feed].Snapshot().Position()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l := a.lags[feed]
-	return !l.pullAt.IsZero() && l.revision == own && !now.Before(l.pullAt)
+	return !l.pullAt.IsZero() && l.position == own && !now.Before(l.pullAt)
 }
 
 // gatewaysPerZone is the number of nodes of each availability zone that pass records on
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -43,7 +43,7 @@
 
 // feed is a part of the platform's store that the node keeps a copy of.
 type feed struct {
-	checked  string // key of an object that is read during a long poll, empty for none
+	checked  bool // whether the objects are read during a long poll
 	holder   *snaps.Holder
 	prefix   string // of the keys in the store
 	watchers int    // number of nodes per availability zone that watch the store
@@ -140,15 +140,16 @@
 
 // poll calls the platform's store once and applies what it returns: the changes since
 // the feed's revision, for which the call waits up to pollWait, or all objects if there
-// is no revision yet or the store no longer knows the changes since it. If objects
-// changed, it announces them to other nodes.
+// is no revision yet, the store no longer knows the changes since it or the store was
+// restored from an older copy. If objects changed, it announces them to other nodes.
 func (n *Node) poll(ctx context.Context, f feed) error {
-	from := f.holder.Snapshot().Revision()
+	held := f.holder.Snapshot().Position()
+	from := held.Revision
 	sent := time.Now()
 	var listing store.Listing
 	var err error
 	if from > 0 {
-		listing, err = n.watch(ctx, f, from)
+		listing, err = n.watch(ctx, f, held)
 	}
 	if from == 0 || errors.Is(err, store.ErrGone) {
 		from = 0
@@ -158,28 +159,19 @@
 	if err != nil {
 		return err
 	}
-	n.logStoreEra(f, listing)
-	if f.holder.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
-		f.holder.MarkFresh(listing.Revision, sent)
-		if len(listing.Objects) > 0 {
-			n.log.Info().Str("Feed", f.prefix).Uint64("Revision", listing.Revision).Uint64("Catalog", f.holder.Snapshot().CatalogVersion()).Int("Rejected", f.holder.Rejected()).Msg("configuration is in force")
-			n.background.Go(func() { n.agent.Announce(ctx) })
+	delta := snaps.Delta{Era: listing.Era, From: from, Objects: listing.Objects, Revision: listing.Revision}
+	if f.holder.Apply(delta) && len(listing.Objects) > 0 {
+		if held.Revision > 0 && listing.Era != held.Era {
+			n.log.Warn().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("HeldRevision", held.Revision).Int("Retained", f.holder.Retained()).
+				Msg("the platform's store was restored from an older copy")
 		}
+		n.log.Info().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("Catalog", f.holder.Snapshot().CatalogVersion()).Int("Rejected", f.holder.Rejected()).Msg("configuration is in force")
+		n.background.Go(func() { n.agent.Announce(ctx) })
 	}
-	f.holder.MarkFresh(listing.Revision, sent)
+	f.holder.MarkFresh(listing.Position(), sent)
 	return nil
 }
 
-// logStoreEra takes what a poll of a feed returned, and logs when the platform's store has
-// been restored from an older copy.
-func (n *Node) logStoreEra(f feed, listing store.Listing) {
-	if before := n.storeEra.Swap(listing.Era + 1); before == 0 || before == listing.Era+1 {
-		return
-	}
-	n.log.Warn().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("HeldRevision", f.holder.Snapshot().Revision()).
-		Msg("the platform's store was restored from an older copy")
-}
-
 // logStoreState takes the result of a call to the platform's store, and logs when
 // calls begin to fail and when they succeed again.
 func (n *Node) logStoreState(err error) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -81,8 +81,6 @@
 	flushSpans func(context.Context) error
 	stats      *stats.Stats
 	store      *store.Counted
-	// storeEra is the last known era of the platform's store, plus 1; 0 if none is known.
-	storeEra atomic.Uint64
 	// storeFailed is true if the last call to the platform's store failed.
 	storeFailed atomic.Bool
 	table       *member.Table
@@ -178,7 +176,7 @@
 	n.feeds = []feed{{holder: n.config, prefix: kinds.Root, watchers: watchersPerZone}}
 	if n.catalogDecoder != nil {
 		n.catalog = snaps.NewHolder(snaps.WithCatalog(n.catalogKey, n.catalogDecoder))
-		n.feeds = append(n.feeds, feed{checked: n.catalogKey, holder: n.catalog, prefix: n.catalogPrefix, watchers: watchersPerZone})
+		n.feeds = append(n.feeds, feed{checked: true, holder: n.catalog, prefix: n.catalogPrefix, watchers: watchersPerZone})
 	}
 	holders := make([]*snaps.Holder, len(n.feeds))
 	for i, f := range n.feeds {
--- a/internal/process/node/storecalls_test.go
+++ b/internal/process/node/storecalls_test.go
@@ -182,7 +182,7 @@
 	n.settings.Store(settings)
 	n.feeds = []feed{
 		{holder: n.config, prefix: kinds.Root, watchers: watchersPerZone},
-		{checked: catalogKey, holder: n.catalog, prefix: "config/", watchers: watchersPerZone},
+		{checked: true, holder: n.catalog, prefix: "config/", watchers: watchersPerZone},
 	}
 	n.agent = member.NewAgent(net, n.table, n.log, n.config, n.catalog)
 	n.quota = quota.NewClient(time.Now(), quota.Options{
@@ -245,7 +245,7 @@
 				n := newFollowingNode(t.Context(), mesh.NewNetwork(0).AddNode(address), deafStore{own}, &setup.Settings{Peers: address, Zone: "zone0"})
 				time.AfterFunc(100*time.Millisecond, func() { c.do(t, platform, own) })
 				start := time.Now()
-				_, err := n.watch(t.Context(), n.feeds[1], 0)
+				_, err := n.watch(t.Context(), n.feeds[1], store.Position{})
 				if c.want == "" {
 					assert.NilError(t, err)
 					return
--- a/internal/process/node/watch.go
+++ b/internal/process/node/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,22 +30,32 @@
 // errMissedChange means that a long poll has missed a change.
 var errMissedChange = errors.New("the poll missed a change")
 
-// watch polls the changes of a feed since a revision. If the feed has an object to
-// check, it reads that at each checkInterval; a newer version, or a failed read, ends
+// watch polls the changes of a feed since a position. It returns store.ErrGone if the
+// store is in another era, in which the position means nothing.
+func (n *Node) watch(ctx context.Context, f feed, from store.Position) (store.Listing, error) {
+	listing, err := n.watchChecked(ctx, f, from)
+	if err == nil && listing.Era != from.Era {
+		return store.Listing{}, store.ErrGone
+	}
+	return listing, err
+}
+
+// watchChecked polls the changes of a feed since a position. If the feed is to be
+// checked, it reads that at each checkInterval; a change, or a failed read, ends
 // the poll. It returns store.ErrGone for a missed change, because then the changes
-// since the revision may be gone as well.
-func (n *Node) watch(ctx context.Context, f feed, from uint64) (store.Listing, error) {
-	if f.checked == "" {
-		return n.store.Watch(ctx, f.prefix, from, pollWait)
+// since the position may be gone as well.
+func (n *Node) watchChecked(ctx context.Context, f feed, from store.Position) (store.Listing, error) {
+	if !f.checked {
+		return n.store.Watch(ctx, f.prefix, from.Revision, pollWait)
 	}
 	pollCtx, cancel := context.WithCancelCause(ctx)
 	var checker conc.WaitGroup
 	checker.Go(func() {
-		if err := n.checkDuring(pollCtx, f); err != nil {
+		if err := n.checkDuring(pollCtx, f, from.Era); err != nil {
 			cancel(err)
 		}
 	})
-	listing, err := n.store.Watch(pollCtx, f.prefix, from, pollWait)
+	listing, err := n.store.Watch(pollCtx, f.prefix, from.Revision, pollWait)
 	cause := context.Cause(pollCtx)
 	cancel(nil)
 	checker.Wait()
@@ -57,25 +68,30 @@
 	return store.Listing{}, trace.Wrap(cause)
 }
 
-// checkDuring reads a feed's object at each checkInterval until the context ends or a
-// read fails. It returns errMissedChange if it has read a newer version than the
-// feed's.
-func (n *Node) checkDuring(ctx context.Context, f feed) error {
+// checkDuring reads a feed's objects at each checkInterval until the context ends or a
+// read fails. It returns errMissedChange if it has read a newer version of an object than
+// the feed's, or if the store is in another era than the given one.
+func (n *Node) checkDuring(ctx context.Context, f feed, era uint64) error {
 	for sleep(ctx, checkInterval) {
 		readCtx, cancel := context.WithTimeout(ctx, answerTimeout)
-		object, err := n.store.Get(readCtx, f.checked, store.WithStale())
+		listing, err := n.store.List(readCtx, f.prefix, store.WithStale())
 		cancel()
 		switch {
-		case ctx.Err() != nil || errors.Is(err, store.ErrNotFound):
+		case ctx.Err() != nil:
 		case err != nil:
 			return trace.Wrap(err)
-		case object.Version > f.holder.Object(f.checked).Version:
+		case listing.Era != era || n.hasNewer(f, listing):
 			return errMissedChange
 		}
 	}
 	return nil
 }
 
+// hasNewer reports whether a listing has a newer version of an object than a feed.
+func (n *Node) hasNewer(f feed, listing store.Listing) bool {
+	return slices.ContainsFunc(listing.Objects, func(o store.Object) bool { return o.Version > f.holder.Object(o.Key).Version })
+}
+
 // platformAnswers reports whether the platform answers a cheap call within
 // answerTimeout. A failed watch alone does not show that it does not, because the
 // platform drops waiting watches together with its history.
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -202,7 +202,7 @@
 			if n.config.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
 				n.agent.Announce(ctx)
 			}
-			n.config.MarkFresh(listing.Revision, sent)
+			n.config.MarkFresh(listing.Position(), sent)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -41,6 +41,26 @@
 	Revision uint64
 }
 
+// Position returns the position that the listing represents.
+func (l *Listing) Position() Position {
+	return Position{Era: l.Era, Revision: l.Revision}
+}
+
+// Position is a state of the store. Positions are ordered by era and then by revision,
+// because a restored store assigns revisions again.
+type Position struct {
+	Era      uint64 `cbor:",omitempty"`
+	Revision uint64
+}
+
+// Before reports whether a position is older than another one.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
 // ReadOption changes how a Store reads.
 type ReadOption func(*ReadOptions)
 
--- a/internal/version/kinds/kinds.go
+++ b/internal/version/kinds/kinds.go
@@ -61,6 +61,19 @@
 	return trace.Wrap(o.Row.Check())
 }
 
+// Before reports whether the row was last edited before another version of it.
+func (o *RowObject) Before(other *RowObject) bool {
+	return lastEdit(o.Edits).Before(lastEdit(other.Edits))
+}
+
+// lastEdit returns the time of the newest edit, or zero if there is none.
+func lastEdit(edits []Edit) time.Time {
+	if len(edits) == 0 {
+		return time.Time{}
+	}
+	return edits[0].Time
+}
+
 // RowKey returns the store key of the row of a route and a customer.
 func RowKey(route, customer string) string {
 	sum := sha256.Sum256([]byte(route + "\x00" + customer))
@@ -88,6 +101,11 @@
 	return nil
 }
 
+// Before reports whether the key was last edited before another version of it.
+func (o *KeyObject) Before(other *KeyObject) bool {
+	return lastEdit(o.Edits).Before(lastEdit(other.Edits))
+}
+
 // HashAPIKey returns the hash of an API key, in the form that KeyObject stores.
 func HashAPIKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -124,6 +142,11 @@
 	return nil
 }
 
+// Before reports whether the allocator's term is before that of another record of it.
+func (o *Allocator) Before(other *Allocator) bool {
+	return o.Term < other.Term
+}
+
 // Seeds are the addresses of some nodes of an availability zone, which new nodes
 // contact to join.
 type Seeds struct {
--- a/internal/version/snaps/builder.go
+++ b/internal/version/snaps/builder.go
@@ -18,56 +18,94 @@
 	paths                  map[string]bool // paths whose index has been cloned
 }
 
-// newBuilder returns a builder of the snapshot of a later revision.
-func (s *Snapshot) newBuilder(revision uint64) *builder {
+// newBuilder returns a builder of the snapshot of a later position.
+func (s *Snapshot) newBuilder(position store.Position) *builder {
 	next := *s
-	next.revision = revision
+	next.position = position
 	return &builder{paths: make(map[string]bool), snapshot: &next}
 }
 
-// apply decodes an object and adds it to the snapshot. It returns false if the
-// value is invalid; the object's previous value then stays in force. Deleted
-// objects, and objects of kinds that this version does not know, are ignored.
-func (b *builder) apply(object store.Object) bool {
+// outcome tells what became of an object that was applied to a builder.
+type outcome int
+
+const (
+	// applied means that the object is in force, or that it is ignored.
+	applied outcome = iota
+	// invalid means that the value does not decode. The previous one stays in force.
+	invalid
+	// superseded means that the value held is newer, and stays in force.
+	superseded
+)
+
+// apply decodes an object and adds it to the snapshot, unless its value is invalid or
+// older than the one held for its key. Deleted objects, and objects of kinds that this
+// version does not know, are ignored.
+func (b *builder) apply(object, held store.Object) outcome {
 	switch {
 	case object.Value == nil:
-		return true
+		return applied
 	case b.snapshot.isCatalog(object.Key):
 		return b.putCatalog(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixAllocators):
-		return b.putAllocator(object)
+		return b.putAllocator(object, held)
 	case strings.HasPrefix(object.Key, kinds.PrefixKeys):
-		return b.putKey(object)
+		return b.putKey(object, held)
 	case strings.HasPrefix(object.Key, kinds.PrefixRows):
-		return b.putRow(object)
+		return b.putRow(object, held)
 	}
-	return true
+	return applied
+}
+
+// ordered is a kind of object whose values tell which of two is the older one.
+type ordered[T any] interface {
+	*T
+	kinds.Checker
+	Before(other *T) bool
 }
 
-func (b *builder) putAllocator(object store.Object) bool {
+// isSuperseded reports whether the value held for a key is newer than another one. Only
+// a value that is held from an earlier era can be.
+func isSuperseded[T any, P ordered[T]](value P, held store.Object) bool {
+	if held.Version != 0 || held.Value == nil {
+		return false
+	}
+	var newer T
+	return kinds.Decode(held.Value, P(&newer)) == nil && value.Before(&newer)
+}
+
+func (b *builder) putAllocator(object, held store.Object) outcome {
 	var a kinds.Allocator
 	if kinds.Decode(object.Value, &a) != nil {
-		return false
+		return invalid
+	}
+	if isSuperseded(&a, held) {
+		return superseded
 	}
 	cloneOnce(&b.allocators, &b.snapshot.allocators)
 	b.snapshot.allocators[shardID{a.Zone, a.Shard}] = a
-	return true
+	return applied
 }
 
-func (b *builder) putKey(object store.Object) bool {
+func (b *builder) putKey(object, held store.Object) outcome {
 	var k kinds.KeyObject
 	if kinds.Decode(object.Value, &k) != nil || kinds.KeyObjectKey(k.Hash) != object.Key {
-		return false
+		return invalid
+	}
+	if isSuperseded(&k, held) {
+		return superseded
 	}
 	cloneOnce(&b.keys, &b.snapshot.keys)
 	b.snapshot.keys[k.Hash] = k
-	return true
+	return applied
 }
 
-func (b *builder) putRow(object store.Object) bool {
+func (b *builder) putRow(object, held store.Object) outcome {
 	var r kinds.RowObject
 	if kinds.Decode(object.Value, &r) != nil || kinds.RowKey(r.Row.Route, r.Row.Customer) != object.Key {
-		return false
+		return invalid
+	}
+	if isSuperseded(&r, held) {
+		return superseded
 	}
 	cloneOnce(&b.rows, &b.snapshot.rows)
 	path := r.Row.Path()
@@ -88,7 +126,7 @@
 	if len(b.snapshot.rows[path]) == 0 {
 		delete(b.snapshot.rows, path)
 	}
-	return true
+	return applied
 }
 
 // cloneOnce clones a map unless it has been cloned already.
--- a/internal/version/snaps/catalog.go
+++ b/internal/version/snaps/catalog.go
@@ -154,14 +154,14 @@
 }
 
 // putCatalog replaces the catalog unless the current one has a higher version.
-// It returns false if the value cannot be decoded.
-func (b *builder) putCatalog(object store.Object) bool {
+func (b *builder) putCatalog(object store.Object) outcome {
 	decoded, err := b.snapshot.source.decode(object.Value)
 	if err != nil {
-		return false
+		return invalid
 	}
-	if decoded.Version >= b.snapshot.CatalogVersion() {
-		b.snapshot.catalog = newCatalog(decoded)
+	if decoded.Version < b.snapshot.CatalogVersion() {
+		return superseded
 	}
-	return true
+	b.snapshot.catalog = newCatalog(decoded)
+	return applied
 }
--- a/internal/version/snaps/holder.go
+++ b/internal/version/snaps/holder.go
@@ -11,8 +11,10 @@
 	"github.com/wasabibend/wasabibend/internal/process/store"
 )
 
-// Delta holds the objects that changed in the store between two revisions.
+// Delta holds the objects that changed in the store between two revisions of an era.
 type Delta struct {
+	// Era is the store's era.
+	Era uint64 `cbor:",omitempty"`
 	// From is the exclusive lower bound: all changes after it are included.
 	From uint64
 	// Objects are the last versions of the changed objects.
@@ -36,14 +38,19 @@
 
 // Holder holds the objects of the configuration and the snapshot in force. It is
 // safe for concurrent use. No other lock is acquired while its lock is held.
+//
+// A store that is restored from an older copy begins a new era. Its objects then replace
+// those of the earlier era, except where the value held is newer by the order of its own
+// kind: that stays in force until the store has one that is as new again.
 type Holder struct {
 	snapshot atomic.Pointer[Snapshot]
 
 	mu       sync.Mutex
-	freshAt  time.Time               // when revision was last known to be the store's current one
-	objects  map[string]store.Object // by key, the last version of each
-	rejected int                     // versions that could not be decoded
-	revision uint64
+	freshAt  time.Time               // when position was last known to be the store's current one
+	objects  map[string]store.Object // by key, the last version of each; version 0 if not seen in this era
+	position store.Position
+	rejected int // versions that could not be decoded
+	retained int // versions that were older than the value held
 }
 
 // NewHolder returns a Holder with an empty snapshot.
@@ -61,37 +68,70 @@
 	return h.snapshot.Load()
 }
 
-// Apply applies a delta and reports whether the revision increased. A delta that
+// Apply applies a delta and reports whether the position increased. A delta that
 // begins after the current revision would leave a gap, and one that does not end
-// after it has nothing new: both are ignored.
+// after it has nothing new: both are ignored. A delta of a later era must begin at 0.
 func (h *Holder) Apply(delta Delta) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if delta.From > h.revision || delta.Revision <= h.revision {
+	if !h.continues(&delta) {
 		return false
 	}
-	next := h.snapshot.Load().newBuilder(delta.Revision)
+	if delta.Era != h.position.Era {
+		h.clearVersions()
+	}
+	h.position = store.Position{Era: delta.Era, Revision: delta.Revision}
+	next := h.snapshot.Load().newBuilder(h.position)
 	for _, object := range delta.Objects {
-		if object.Version <= h.objects[object.Key].Version {
+		held := h.objects[object.Key]
+		if object.Version <= held.Version {
 			continue
 		}
-		h.objects[object.Key] = object
-		if !next.apply(object) {
+		switch next.apply(object, held) {
+		case invalid:
 			h.rejected++
+		case superseded:
+			h.retained++
+			object.Value = held.Value
 		}
+		h.objects[object.Key] = object
 	}
-	h.revision = delta.Revision
 	h.snapshot.Store(next.snapshot)
 	return true
 }
 
-// Since returns the changes after a revision. The delta ends early with the
-// object whose key and value take the total size past limit bytes; the caller
-// gets the rest by calling Since with the delta's revision.
-func (h *Holder) Since(revision uint64, limit int) Delta {
+// continues reports whether a delta leads from the current position to a later one
+// without a gap. The caller holds the lock.
+func (h *Holder) continues(delta *Delta) bool {
+	if delta.Era != h.position.Era {
+		return delta.Era > h.position.Era && delta.From == 0
+	}
+	return delta.From <= h.position.Revision && delta.Revision > h.position.Revision
+}
+
+// clearVersions removes the versions of the objects held, because those of the next era
+// do not compare with them. The caller holds the lock.
+func (h *Holder) clearVersions() {
+	for key, object := range h.objects {
+		object.Version = 0
+		h.objects[key] = object
+	}
+}
+
+// Since returns the changes after a position, or all objects if that is of an earlier
+// era. The delta ends early with the object whose key and value take the total size
+// past limit bytes; the caller gets the rest by calling Since with the delta's position.
+func (h *Holder) Since(from store.Position, limit int) Delta {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delta := Delta{From: revision, Revision: max(h.revision, revision)}
+	revision := from.Revision
+	switch {
+	case h.position.Before(from):
+		return Delta{Era: from.Era, From: revision, Revision: revision}
+	case from.Era != h.position.Era:
+		revision = 0
+	}
+	delta := Delta{Era: h.position.Era, From: revision, Revision: h.position.Revision}
 	for _, object := range h.objects {
 		if object.Version > revision {
 			delta.Objects = append(delta.Objects, object)
@@ -115,13 +155,13 @@
 	return delta
 }
 
-// MarkFresh records that the given revision was the store's current one at a time.
-// It has no effect if the Holder has not reached that revision, or has recorded a
+// MarkFresh records that the given position was the store's current one at a time.
+// It has no effect if the Holder has not reached that position, or has recorded a
 // later time already.
-func (h *Holder) MarkFresh(revision uint64, at time.Time) {
+func (h *Holder) MarkFresh(position store.Position, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if revision <= h.revision && at.After(h.freshAt) {
+	if !h.position.Before(position) && at.After(h.freshAt) {
 		h.freshAt = at
 	}
 }
@@ -145,6 +185,14 @@
 	return h.objects[key]
 }
 
+// Retained returns the number of object versions that did not replace the value held,
+// because that is newer.
+func (h *Holder) Retained() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.retained
+}
+
 // Rejected returns the number of object versions that could not be decoded.
 func (h *Holder) Rejected() int {
 	h.mu.Lock()
--- a/internal/version/snaps/holder_test.go
+++ b/internal/version/snaps/holder_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -58,6 +59,68 @@
 	}
 }
 
+// editedRow returns a row's object that was last edited at the given second.
+func editedRow(tb testing.TB, rate float64, second int64, version uint64) store.Object {
+	tb.Helper()
+	row := rows.Default("GET /service1/path1", "customer")
+	row.Rate = rate
+	value, err := kinds.Encode(&kinds.RowObject{Edits: []kinds.Edit{{ID: strconv.FormatInt(second, 10), Time: time.Unix(second, 0)}}, Row: row})
+	assert.NilError(tb, err)
+	return store.Object{Key: kinds.RowKey(row.Route, row.Customer), Value: value, Version: version}
+}
+
+// TestHolderRestored guards against a row that reverts to an older edit, or is not
+// replaced by a newer one, after the store was restored from an older copy. Versions of
+// the two eras do not compare.
+func TestHolderRestored(t *testing.T) {
+	h := NewHolder()
+	for _, step := range []struct {
+		name     string
+		delta    Delta
+		applied  bool
+		rate     float64
+		position store.Position
+		retained int
+	}{
+		{"before", Delta{Objects: []store.Object{editedRow(t, 20, 2, 7)}, Revision: 9}, true, 20, store.Position{Revision: 9}, 0},
+		{"changes of the next era without its copy", Delta{Era: 1, From: 4, Objects: []store.Object{editedRow(t, 40, 4, 8)}, Revision: 8}, false, 20, store.Position{Revision: 9}, 0},
+		{"copy with an older edit", Delta{Era: 1, Objects: []store.Object{editedRow(t, 10, 1, 3)}, Revision: 4}, true, 20, store.Position{Era: 1, Revision: 4}, 1},
+		{"peer in the earlier era", Delta{Objects: []store.Object{editedRow(t, 20, 2, 7)}, Revision: 12}, false, 20, store.Position{Era: 1, Revision: 4}, 1},
+		{"lost edit written again", Delta{Era: 1, From: 4, Objects: []store.Object{editedRow(t, 20, 3, 5)}, Revision: 5}, true, 20, store.Position{Era: 1, Revision: 5}, 1},
+		{"newer edit at a lower version than before", Delta{Era: 1, From: 5, Objects: []store.Object{editedRow(t, 30, 4, 6)}, Revision: 6}, true, 30, store.Position{Era: 1, Revision: 6}, 1},
+	} {
+		assert.Equal(t, h.Apply(step.delta), step.applied, step.name)
+		assert.Equal(t, rateOf(h, 1), step.rate, step.name)
+		assert.Equal(t, h.Snapshot().Position(), step.position, step.name)
+		assert.Equal(t, h.Retained(), step.retained, step.name)
+	}
+}
+
+// TestSinceRestored guards against a node that gets the restored store from a peer in
+// parts: the values that it holds must stay in force until the part with their objects.
+func TestSinceRestored(t *testing.T) {
+	source, behind := NewHolder(), NewHolder()
+	objects := func(rate float64, version uint64) []store.Object {
+		var all []store.Object
+		for i := range 100 {
+			all = append(all, rowObject(t, i, rate, version+uint64(i)))
+		}
+		return all
+	}
+	assert.Check(t, behind.Apply(Delta{Objects: objects(5, 1001), Revision: 1100}))
+	assert.Check(t, source.Apply(Delta{Era: 1, Objects: objects(6, 1), Revision: 100}))
+	deltas := 0
+	for behind.Apply(source.Since(behind.Snapshot().Position(), 4096)) {
+		deltas++
+		assert.Equal(t, len(behind.Snapshot().Rows()), 100)
+	}
+	assert.Check(t, deltas > 5, "%d deltas", deltas)
+	for i := range 100 {
+		assert.Equal(t, rateOf(behind, i), 6.0)
+	}
+	assert.Equal(t, len(behind.Since(store.Position{Era: 2, Revision: 1}, 4096).Objects), 0, "a peer in a later era needs nothing")
+}
+
 // TestSinceSplitsDeltas checks that a holder that is far behind gets all changes
 // in several deltas of limited size.
 func TestSinceSplitsDeltas(t *testing.T) {
@@ -69,7 +132,7 @@
 	delta.Revision = 200
 	assert.Check(t, source.Apply(delta))
 	deltas := 0
-	for behind.Apply(source.Since(behind.Snapshot().Revision(), 4096)) {
+	for behind.Apply(source.Since(behind.Snapshot().Position(), 4096)) {
 		deltas++
 	}
 	assert.Check(t, deltas > 5, "%d deltas", deltas)
--- a/internal/version/snaps/snapshot.go
+++ b/internal/version/snaps/snapshot.go
@@ -1,5 +1,5 @@
 // Package snaps keeps the configuration in force as an immutable snapshot. A new
-// revision replaces the snapshot atomically; the revision never decreases.
+// position of the store replaces the snapshot atomically; the position never decreases.
 package snaps
 
 import (
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/pkg/rows"
 )
@@ -25,9 +26,9 @@
 	method, customer string
 }
 
-// Snapshot is the configuration at a revision. It is immutable.
+// Snapshot is the configuration at a position of the store. It is immutable.
 type Snapshot struct {
-	revision   uint64
+	position   store.Position
 	allocators map[shardID]kinds.Allocator
 	catalog    *catalog                       // nil for none
 	keys       map[string]kinds.KeyObject     // by hash
@@ -43,10 +44,15 @@
 	}
 }
 
-// Revision returns the store's revision that the snapshot represents, or 0 for
-// an empty snapshot.
+// Position returns the store's position that the snapshot represents. Its revision is 0
+// for an empty snapshot.
+func (s *Snapshot) Position() store.Position {
+	return s.position
+}
+
+// Revision returns the revision of the snapshot's position.
 func (s *Snapshot) Revision() uint64 {
-	return s.revision
+	return s.position.Revision
 }
 
 // Allocator returns the record of the allocator of a shard in an availability zone,
