Test rates while the store is restored from an older copy

Allocators rest on conditional writes of their records. Ten cases of TestFailures restore the store from a copy from before the holder's term, from before a takeover, or from before the allocators existed, and let the holder or a candidate die or nodes join afterwards. The bound on the rate holds in all, and wrongful refusals stay at or below 0.1 % where the test limits them. No code of the node is changed.

--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/csv"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -21,6 +22,7 @@
 	"github.com/wasabibend/wasabibend/internal/fakes/mesh"
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
 	"github.com/wasabibend/wasabibend/internal/process/member"
+	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 	"github.com/wasabibend/wasabibend/pkg/rows"
@@ -61,6 +63,12 @@
 	// faults begin and end.
 	faultStart = 20 * time.Second
 	faultEnd   = 40 * time.Second
+	// joiningNodes is the number of nodes that join in a fault, and firstJoiningNode the
+	// number of the first of them.
+	joiningNodes     = 8
+	firstJoiningNode = 100
+	// settleTime is the time in which others take over from a node that failed.
+	settleTime = 5 * time.Second
 	// drainTime is the time after a case in which calls in flight end.
 	drainTime = 10 * time.Second
 	// warmUp is the time for the nodes to find each other before requests
@@ -91,9 +99,12 @@
 
 // fleet contains the nodes and the platform of a case.
 type fleet struct {
+	copied   objapi.Copy // of the platform's store, at first from before the allocators
+	isolated *testNode   // nil for none
 	net      *mesh.Network
 	nodes    []*testNode
 	platform *objapi.Server
+	zones    []string
 
 	mu       sync.Mutex // also guards changes of nodes, which only one goroutine makes
 	admitted map[string][]time.Time
@@ -134,7 +145,7 @@
 		}
 		work.Go(func() { f.sendRequests(ctx, uint64(2*seed+i), customer, rate, record[7], limit) })
 	}
-	work.Go(func() { f.injectFaults(record[8]) })
+	work.Go(func() { f.injectFaults(ctx, record[8]) })
 	work.Wait()
 	for customer, times := range f.admitted {
 		assert.Check(t, withinLimit(times, limit), "%s got more than its rate and burst", customer)
@@ -155,12 +166,12 @@
 	assert.NilError(t, err)
 	_, err = f.platform.NewMemoryStore().Put(ctx, kinds.RowKey(row.Route, row.Customer), value, 0)
 	assert.NilError(t, err)
-	var names []string
+	f.copied = f.platform.Copy()
 	for z := range zones {
-		names = append(names, fmt.Sprintf("zone%d", z))
+		f.zones = append(f.zones, fmt.Sprintf("zone%d", z))
 	}
 	for i := range zones * perZone {
-		f.nodes = append(f.nodes, f.newNode(ctx, i, names[i%zones], names))
+		f.nodes = append(f.nodes, f.newNode(ctx, i, f.zones[i%zones]))
 	}
 	for _, n := range f.nodes[1:] {
 		assert.NilError(t, n.agent.Join(ctx, f.nodes[0].address))
@@ -168,14 +179,14 @@
 	return f
 }
 
-func (f *fleet) newNode(ctx context.Context, i int, zone string, zones []string) *testNode {
+func (f *fleet) newNode(ctx context.Context, i int, zone string) *testNode {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)}), 8001)
 	ctx, cancel := context.WithCancel(ctx)
 	endpoint := f.net.AddNode(address)
 	n := &testNode{address: address, cancel: cancel, config: snaps.NewHolder(), memory: f.platform.NewMemoryStore(), zone: zone}
 	n.table = member.NewTable(time.Now(), member.Record{Peers: address, Readiness: member.Ready, Service: "ledger", Zone: zone})
 	n.agent = member.NewAgent(endpoint, n.table, zerolog.Nop(), n.config)
-	n.client = NewClient(time.Now(), Options{Config: n.config, Limits: n.limitOf, Log: zerolog.Nop(), Mesh: endpoint, Self: address, Shards: 1, Store: n.memory, Table: n.table, Zone: zone, Zones: zones})
+	n.client = NewClient(time.Now(), Options{Config: n.config, Limits: n.limitOf, Log: zerolog.Nop(), Mesh: endpoint, Self: address, Shards: 1, Store: n.memory, Table: n.table, Zone: zone, Zones: f.zones})
 	go n.agent.Run(ctx)
 	go n.client.Run(ctx)
 	go n.watchPlatform(ctx)
@@ -196,10 +207,16 @@
 // ends.
 func (n *testNode) watchPlatform(ctx context.Context) {
 	for ctx.Err() == nil {
-		from := n.config.Snapshot().Revision()
+		held := n.config.Snapshot().Position()
+		from := held.Revision
 		sent := time.Now()
-		if listing, err := n.memory.Watch(ctx, kinds.Root, from, 0); err == nil {
-			if n.config.Apply(snaps.Delta{From: from, Objects: listing.Objects, Revision: listing.Revision}) {
+		listing, err := n.memory.Watch(ctx, kinds.Root, from, 0)
+		if errors.Is(err, store.ErrGone) || err == nil && listing.Era != held.Era {
+			from = 0
+			listing, err = n.memory.List(ctx, kinds.Root)
+		}
+		if err == nil {
+			if n.config.Apply(snaps.Delta{Era: listing.Era, From: from, Objects: listing.Objects, Revision: listing.Revision}) {
 				n.agent.Announce(ctx)
 			}
 			n.config.MarkFresh(listing.Position(), sent)
@@ -257,19 +274,21 @@
 
 // injectFaults begins and ends the faults of a case, whose names are separated
 // by spaces.
-func (f *fleet) injectFaults(faults string) {
+func (f *fleet) injectFaults(ctx context.Context, faults string) {
 	time.Sleep(faultStart)
 	for _, name := range strings.Fields(faults) {
-		f.setFault(name, true)
+		f.setFault(ctx, name, true)
 	}
 	time.Sleep(faultEnd - faultStart)
 	for _, name := range strings.Fields(faults) {
-		f.setFault(name, false)
+		f.setFault(ctx, name, false)
 	}
 }
 
-// setFault begins or ends a fault. A node that died or left stays away.
-func (f *fleet) setFault(name string, on bool) {
+// setFault begins or ends a fault. A node that died or left stays away. While a fault
+// begins, "settle" waits for the others to react, and "allocator-rejoins" ends
+// "allocator-isolated".
+func (f *fleet) setFault(ctx context.Context, name string, on bool) {
 	switch name {
 	case "allocator-cut":
 		holder := f.holder("zone0")
@@ -284,11 +303,12 @@
 			f.kill(f.holder("zone0"))
 		}
 	case "allocator-isolated":
-		holder := f.holder("zone0")
-		holder.memory.SetUnreachable(on)
-		for _, n := range f.nodes {
-			f.net.SetPartitioned(holder.address, n.address, on)
+		if on {
+			f.isolated = f.holder("zone0")
 		}
+		f.isolate(f.isolated, on)
+	case "allocator-rejoins":
+		f.isolate(f.isolated, false)
 	case "allocator-leaves":
 		if on {
 			holder := f.holder("zone0")
@@ -303,6 +323,22 @@
 		f.platform.SetFaults(objapi.Faults{Down: on})
 	case "platform-slow":
 		f.platform.SetFaults(objapi.Faults{Delay: map[bool]time.Duration{true: 1500 * time.Millisecond}[on]})
+	case "nodes-join":
+		if on {
+			f.addNodes(ctx, "zone0", joiningNodes)
+		}
+	case "settle":
+		if on {
+			time.Sleep(settleTime)
+		}
+	case "store-copied":
+		if on {
+			f.copied = f.platform.Copy()
+		}
+	case "store-restored":
+		if on {
+			f.platform.Restore(f.copied)
+		}
 	case "zone-cut":
 		f.cutZone("zone0", on)
 	case "zone-off":
@@ -315,6 +351,27 @@
 	}
 }
 
+// addNodes starts nodes of an availability zone that join the fleet.
+func (f *fleet) addNodes(ctx context.Context, zone string, count int) {
+	for i := range count {
+		n := f.newNode(ctx, firstJoiningNode+i, zone)
+		if err := n.agent.Join(ctx, f.nodes[0].address); err != nil {
+			panic(err)
+		}
+		f.mu.Lock()
+		f.nodes = append(slices.Clone(f.nodes), n)
+		f.mu.Unlock()
+	}
+}
+
+// isolate cuts a node off from the platform and all other nodes, or ends that.
+func (f *fleet) isolate(node *testNode, on bool) {
+	node.memory.SetUnreachable(on)
+	for _, n := range f.nodes {
+		f.net.SetPartitioned(node.address, n.address, on)
+	}
+}
+
 // holder returns a node that holds a zone's allocator, as far as it knows.
 func (f *fleet) holder(zone string) *testNode {
 	i := slices.IndexFunc(f.nodes, func(n *testNode) bool {
