Store the fleet's secret again in a restored store that lost it

The secret is written once, at the first start of the fleet. A store restored from a copy from before that does not have it; a node that starts then would create another one, and could neither join nor be called.

TestSecretRestored failed before ("the object does not exist") and passes. A node that watches the store and finds it restored reads the secret, not stale, and writes it if it is missing or another one: one read for each watching node and feed at each restore.

Left: a node that created another secret before it was replaced keeps that one until it is restarted.

--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -164,6 +164,7 @@
 		if held.Revision > 0 && listing.Era != held.Era {
 			n.log.Warn().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("HeldRevision", held.Revision).Int("Retained", f.holder.Retained()).
 				Msg("the platform's store was restored from an older copy")
+			n.background.Go(func() { n.restoreSecret(ctx) })
 		}
 		n.log.Info().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("Catalog", f.holder.Snapshot().CatalogVersion()).Int("Rejected", f.holder.Rejected()).Msg("configuration is in force")
 		n.background.Go(func() { n.agent.Announce(ctx) })
--- a/internal/process/node/restore_test.go
+++ b/internal/process/node/restore_test.go
@@ -18,6 +18,7 @@
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
 	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
 
 // TestLogStoreEra guards against a restored store that leaves no trace in the logs.
@@ -130,6 +131,29 @@
 	f.stop()
 }
 
+// TestSecretRestored guards against a second secret. A store that is restored from a copy
+// from before the fleet's secret must get it again from the nodes, because a node that
+// starts later would create another one and be unable to talk to the others.
+func TestSecretRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCallFleet(15)
+		f.platform.SetFaults(objapi.Faults{Delay: storeDelay})
+		operator := f.platform.NewMemoryStore()
+		f.write(t, operator, 1)
+		backup := f.platform.Copy()
+		f.start(t, true)
+		time.Sleep(20 * time.Second)
+		f.platform.Restore(backup)
+		time.Sleep(stabilityWindow + pollWait)
+		object, err := operator.Get(t.Context(), kinds.SecretKey)
+		assert.NilError(t, err)
+		var secret kinds.Secret
+		assert.NilError(t, kinds.Decode(object.Value, &secret))
+		assert.Equal(t, secret.Text, f.nodes[0].settings.Load().Secret.Text())
+		f.stop()
+	})
+}
+
 // write writes a version of the catalog.
 func (f *callFleet) write(t *testing.T, operator store.Store, version uint64) {
 	t.Helper()
--- a/internal/process/node/secret.go
+++ b/internal/process/node/secret.go
@@ -68,6 +68,46 @@
 	return true, trace.Wrap(n.settings.Load().Secret.Set(secret.Text))
 }
 
+// restoreSecret stores the secret again if the platform's store, which was restored from
+// an older copy, does not have it. A secret that another node created meanwhile is
+// replaced, as the fleet uses this one. It retries until that is settled or the context
+// ends.
+func (n *Node) restoreSecret(ctx context.Context) {
+	secret := n.settings.Load().Secret
+	if !n.secretStored || !secret.Known() {
+		return
+	}
+	for backoff := minBackoff; ctx.Err() == nil; backoff = min(backoff*2, maxBackoff) {
+		err := n.putLostSecret(ctx, secret.Text())
+		if err == nil {
+			return
+		}
+		n.log.Warn().Err(err).Msg("storing the secret in the restored store failed")
+		sleep(ctx, backoff/2+rand.N(backoff))
+	}
+}
+
+// putLostSecret stores the secret unless the platform's store has it.
+func (n *Node) putLostSecret(ctx context.Context, text string) error {
+	object, err := n.store.Get(ctx, kinds.SecretKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return trace.Wrap(err)
+	}
+	var stored kinds.Secret
+	if err == nil && kinds.Decode(object.Value, &stored) == nil && stored.Text == text {
+		return nil
+	}
+	value, err := kinds.Encode(&kinds.Secret{Text: text})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if _, err := n.store.Put(ctx, kinds.SecretKey, value, object.Version); err != nil {
+		return trace.Wrap(err)
+	}
+	n.log.Warn().Msg("stored the fleet's secret again, as the restored store had lost it")
+	return nil
+}
+
 // createSecret stores a random secret and returns its object. If another node has
 // stored one before, it returns that one.
 func (n *Node) createSecret(ctx context.Context) (store.Object, error) {
