Write claims again in a restored store that lost them

A claim is written to the store before its request runs, and the next holder of the shard reads it from there. A store restored from an older copy has lost the last ones: after a change of the holder the same key was granted again, and a request could run twice.

TestRewrite fails if the holder does not write them again ("claim 0 is granted again") and passes now, also while the store fails for 3 s after the restore. A Holder tells when it has moved to a later era, so that each holder learns of it, not only the nodes that watch the store.

Left: a holder that ends before it has written them.

--- a/internal/process/claims/client.go
+++ b/internal/process/claims/client.go
@@ -67,6 +67,17 @@
 	return c
 }
 
+// Rewrite writes the claims of all shards that the node holds to the store again, after
+// the store was restored from an older copy. It returns when that is done or the context
+// ends.
+func (c *Client) Rewrite(ctx context.Context) {
+	var workers conc.WaitGroup
+	for _, claims := range c.byShard {
+		workers.Go(func() { claims.Rewrite(ctx) })
+	}
+	workers.Wait()
+}
+
 // Wait waits until all releases have been sent.
 func (c *Client) Wait() {
 	c.workers.Wait()
--- a/internal/process/claims/shard.go
+++ b/internal/process/claims/shard.go
@@ -4,22 +4,31 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
 
 const (
 	// batchDelay is how long a batch collects claims before it is written.
-	batchDelay   = 20 * time.Millisecond
-	storeTimeout = 300 * time.Millisecond
+	batchDelay = 20 * time.Millisecond
+	// rewriteInterval is the interval at which claims are written again while the store
+	// fails.
+	rewriteInterval = 500 * time.Millisecond
+	storeTimeout    = 300 * time.Millisecond
 )
 
+// maxRewritten is the maximum number of claims that are written again in one object. In
+// JSON an ID has up to 65 bytes.
+const maxRewritten = 8192
+
 // maxUnsaved bounds the claims granted during an outage of the platform that are
 // written after it. Claims beyond it are only in the memory of the holder.
 const maxUnsaved = 32768
@@ -134,6 +143,32 @@
 	}
 }
 
+// Rewrite writes all claims of the term to the store again, after the store was restored
+// from a copy that may not have the last ones. It retries until that succeeds, the node
+// does not hold the shard any more or the context ends.
+func (s *ShardClaims) Rewrite(ctx context.Context) {
+	s.mu.Lock()
+	table, term := s.table, s.term
+	s.mu.Unlock()
+	if table == nil {
+		return
+	}
+	for ids := range slices.Chunk(table.IDs(), maxRewritten) {
+		for {
+			if lease, ok := s.leaseState(time.Now()); !ok || lease.Term != term {
+				return
+			}
+			b := &batch{done: make(chan struct{}), ids: ids}
+			if s.write(b); b.err == nil {
+				break
+			}
+			if pause.For(ctx, rewriteInterval) != nil {
+				return
+			}
+		}
+	}
+}
+
 // load returns the claims of a term. When the term is new, it reads them from the
 // store, and their Lifetime starts again.
 func (s *ShardClaims) load(ctx context.Context, now time.Time, term uint64) (*Table, error) {
@@ -197,7 +232,9 @@
 // write writes a batch to the store, and then deletes expired objects.
 func (s *ShardClaims) write(b *batch) {
 	s.mu.Lock()
-	s.batch = nil
+	if s.batch == b {
+		s.batch = nil
+	}
 	s.mu.Unlock()
 	defer close(b.done)
 	now := time.Now()
--- a/internal/process/claims/table.go
+++ b/internal/process/claims/table.go
@@ -14,6 +14,8 @@
 
 import (
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -72,6 +74,13 @@
 	}
 }
 
+// IDs returns the claimed keys.
+func (t *Table) IDs() []ID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.claims))
+}
+
 // Len returns the number of claims.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -155,7 +155,6 @@
 	n := &Node{
 		conns:      conns.NewTracker(descriptors),
 		cancel:     cancel,
-		config:     snaps.NewHolder(),
 		ctx:        ctx,
 		gate:       gates.NewGate(gates.NewGradient()),
 		log:        log,
@@ -167,6 +166,7 @@
 		table:      member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
 		version:    version,
 	}
+	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored))
 	n.settings.Store(settings)
 	n.reloaded.Store(&reloadState{at: now})
 	n.secretStored = !settings.Secret.Known()
--- a/internal/process/node/secret.go
+++ b/internal/process/node/secret.go
@@ -68,6 +68,12 @@
 	return true, trace.Wrap(n.settings.Load().Secret.Set(secret.Text))
 }
 
+// storeRestored writes again what the node holds by itself and the platform's store, which
+// was restored from an older copy, may have lost.
+func (n *Node) storeRestored() {
+	n.background.Go(func() { n.claims.Rewrite(n.ctx) })
+}
+
 // restoreSecret stores the secret again if the platform's store, which was restored from
 // an older copy, does not have it. A secret that another node created meanwhile is
 // replaced, as the fleet uses this one. It retries until that is settled or the context
--- a/internal/version/snaps/holder.go
+++ b/internal/version/snaps/holder.go
@@ -43,7 +43,8 @@
 // those of the earlier era, except where the value held is newer by the order of its own
 // kind: that stays in force until the store has one that is as new again.
 type Holder struct {
-	snapshot atomic.Pointer[Snapshot]
+	onRestored func() // nil for none
+	snapshot   atomic.Pointer[Snapshot]
 
 	mu       sync.Mutex
 	freshAt  time.Time               // when position was last known to be the store's current one
@@ -63,6 +64,12 @@
 	return h
 }
 
+// WithRestored makes the Holder call a function each time it moves to a later era of the
+// store.
+func WithRestored(f func()) Option {
+	return func(h *Holder) { h.onRestored = f }
+}
+
 // Snapshot returns the snapshot in force.
 func (h *Holder) Snapshot() *Snapshot {
 	return h.snapshot.Load()
@@ -73,10 +80,21 @@
 // after it has nothing new: both are ignored. A delta of a later era must begin at 0.
 func (h *Holder) Apply(delta Delta) bool {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	if !h.continues(&delta) {
+		h.mu.Unlock()
 		return false
 	}
+	restored := h.position.Revision > 0 && delta.Era != h.position.Era
+	h.apply(delta)
+	h.mu.Unlock()
+	if restored && h.onRestored != nil {
+		h.onRestored()
+	}
+	return true
+}
+
+// apply applies a delta that continues the current position. The caller holds the lock.
+func (h *Holder) apply(delta Delta) {
 	if delta.Era != h.position.Era {
 		h.clearVersions()
 	}
@@ -97,7 +115,6 @@
 		h.objects[object.Key] = object
 	}
 	h.snapshot.Store(next.snapshot)
-	return true
 }
 
 // continues reports whether a delta leads from the current position to a later one
