--- a/internal/request/relay/dialect.go
+++ b/internal/request/relay/dialect.go
@@ -39,6 +39,9 @@
 	// Instance is the ID of the upstream's instance that responded, empty if
 	// unknown.
 	Instance string
+	// MaxRate is the number of requests per second that the upstream takes in all, 0 if
+	// it names none.
+	MaxRate float64
 	// NotRun is set if the upstream did not run the request.
 	NotRun bool
 	// AddressReused is set if another upstream now uses the address.
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -240,9 +241,21 @@
 		To:              lc.address,
 		AllowUnframed:   lc.relay.Catalog != nil,
 	})
+	if err == nil && !info.AddressReused {
+		lc.observeMaxRate(time.Now(), info.MaxRate)
+	}
 	return response, info, err
 }
 
+// observeMaxRate records the number of requests per second that the local upstream takes
+// by its last response, 0 if that names none.
+func (lc *localCall) observeMaxRate(now time.Time, rate float64) {
+	before := lc.relay.upstreamMaxRate.Swap(math.Float64bits(rate))
+	if (before == 0) != (rate == 0) {
+		lc.logMaxRate(now, rate)
+	}
+}
+
 // maxIdleTimeUnsafe is the maximum idle time of a connection that is reused for a
 // request that is not idempotent. If the upstream has already dropped the connection,
 // such a request cannot be sent again and fails. A new connection takes only about a
--- a/internal/request/relay/requestlog.go
+++ b/internal/request/relay/requestlog.go
@@ -77,6 +77,16 @@
 		Dur("Left", s.deadline.Sub(now)).Msg("attempt failed")
 }
 
+// logMaxRate logs that the local upstream has begun or ceased to name the number of
+// requests per second that it takes.
+func (lc *localCall) logMaxRate(now time.Time, rate float64) {
+	r := lc.relay
+	if !r.Log.failures.Allow(now) {
+		return
+	}
+	r.Log.log.Info().Str("Instance", lc.instance).Stringer("Upstream", lc.address).Float64("MaxRate", rate).Msg("upstream changed its maximum rate")
+}
+
 // logNotServed logs that the local upstream failed or rejected a request. The
 // outcome is the error or the cause of the refusal.
 func (lc *localCall) logNotServed(now time.Time, id, outcome string, tries int) {
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -82,9 +82,12 @@
 	InFlight   int
 	Leaving    bool
 	Limit      int
-	Members    []Member
-	Peers      netip.AddrPort
-	Readiness  string
+	// MaxRate is the number of requests per second that the upstream takes by its last
+	// response, 0 if it names none.
+	MaxRate   float64 `json:",omitempty"`
+	Members   []Member
+	Peers     netip.AddrPort
+	Readiness string
 	// Refusals are the numbers of refusals by cause.
 	Refusals map[string]int64
 	// Rejected is the number of versions of objects that could not be decoded.
