Keep the rate that an upstream names at the gate beside it

Cause: the header was not read, and no gate limited a rate. Limits of the kind were of requests in flight, taken from the slots that an upstream reports; nothing in a node could keep a rate that the upstream itself names.

Change: the gate starts requests by a token bucket at the named rate; the node's repeats take tokens too. A new start of the upstream forgets it. A load report shows a limited gate as full while no token is left. A call that has an alternative does not wait for the rate (header Wasabibend-Alternative, refusal UpstreamLimited, not run), so waits at one limited upstream do not throttle the route at entries.

The header goes only to nodes whose load has the mark that earlier versions do not send, and the mark is ignored by them, so versions can be mixed.

--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -16,6 +16,8 @@
 // Load is the load of a gate, as reported to other nodes.
 type Load struct {
 	InFlight, Limit, Waiting int
+	// RateLimited is set if the upstream names a number of requests per second.
+	RateLimited bool
 	// Wait is the average recent wait of requests, at this gate or at the services
 	// that they call, whichever is longer.
 	Wait time.Duration
@@ -36,9 +38,14 @@
 
 // Enter waits until a request may run and returns nil; Leave or Abandon must
 // then be called. It returns a refusal if the request may not run or the context
-// ends first.
+// ends first. A request that has an alternative is refused at once where it would have to
+// wait for the upstream's rate.
 func (g *Gate) Enter(ctx context.Context, now time.Time, t *Ticket) *refuse.Refusal {
 	g.mu.Lock()
+	if t.HasAlternative && g.queue.RateExhausted(now) {
+		defer g.mu.Unlock()
+		return refuse.New(refuse.UpstreamLimited, g.queue.RetryAfter(), "the upstream takes no more requests per second")
+	}
 	t.decided = make(chan bool, 1)
 	runs, refused := g.queue.Offer(now, t)
 	retryAfter := g.queue.RetryAfter()
@@ -72,20 +79,42 @@
 	decide(refused, false)
 }
 
-// Reset replaces the Limiter and discards the mean latency. It is for an upstream
-// that has started cold, about which earlier latencies say nothing.
+// Reset replaces the Limiter and discards the mean latency and the rate. It is for an
+// upstream that has started cold, about which earlier responses say nothing.
 func (g *Gate) Reset(limiter Limiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.limiter = limiter
 	g.queue.meanSeconds = 0
+	g.queue.rate = rate{}
+}
+
+// SetRate sets the number of requests per second that the upstream takes; 0 means no
+// limit.
+func (g *Gate) SetRate(now time.Time, perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetRate(now, perSecond)
 }
 
-// Load returns the gate's load. Its Wait covers only waits at this gate.
+// TakeRepeat reports whether a request that was admitted may be sent to the upstream once
+// more within its rate.
+func (g *Gate) TakeRepeat(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.TakeRepeat(now)
+}
+
+// Load returns the gate's load. Its Wait covers only waits at this gate. While the
+// upstream's rate leaves no room, it shows as many requests in flight as the limit.
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
+	load := Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), RateLimited: g.queue.rate.limited(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
+	if g.queue.RateExhausted(now) {
+		load.InFlight = max(load.InFlight, load.Limit)
+	}
+	return load
 }
 
 // Run admits and expires waiting requests until the context ends.
--- a/internal/process/gates/queue.go
+++ b/internal/process/gates/queue.go
@@ -37,8 +37,11 @@
 	Depth int
 	// Due is when the root request should be answered, zero if unknown. Requests
 	// with a due time run in the order of these times.
-	Due        time.Time
-	Importance int
+	Due time.Time
+	// HasAlternative is set if the request can be sent to another upstream, so that it
+	// does not wait for the rate of this one.
+	HasAlternative bool
+	Importance     int
 	Weight     float64
 
 	decided  chan bool // receives whether a waiting request is admitted
@@ -93,6 +96,7 @@
 	inFlight    int
 	limiter     Limiter
 	meanSeconds float64            // mean latency of the upstream
+	rate        rate               // of requests that start
 	served      map[string]float64 // requests served divided by weight, by customer
 	virtualTime float64            // highest service of a customer when one of its requests started
 	wait        *WaitAverage
@@ -109,9 +113,41 @@
 	return q.inFlight
 }
 
-// Limit returns the number of requests that may be in flight.
+// Limit returns the number of requests that may be in flight. If their rate is limited,
+// it is at most the number that are in flight at that rate.
 func (q *Queue) Limit() int {
-	return q.limiter.Limit()
+	limit := q.limiter.Limit()
+	if inFlight := math.Ceil(q.rate.within(q.meanLatency())); q.meanSeconds > 0 && inFlight < float64(limit) {
+		return max(int(inFlight), 1)
+	}
+	return limit
+}
+
+// SetRate sets the number of requests per second that the upstream takes; 0 means no
+// limit.
+func (q *Queue) SetRate(now time.Time, perSecond float64) {
+	q.rate.set(now, perSecond)
+}
+
+// TakeRepeat reports whether the request of an admitted ticket may be sent once more, and
+// counts it toward the rate.
+func (q *Queue) TakeRepeat(now time.Time) bool {
+	if !q.rate.ready(now) {
+		return false
+	}
+	q.rate.take()
+	return true
+}
+
+// RateExhausted reports whether the upstream names a rate that leaves no room for another
+// request now.
+func (q *Queue) RateExhausted(now time.Time) bool {
+	return q.rate.limited() && (len(q.waiting) > 0 || !q.rate.ready(now))
+}
+
+// mayStart reports whether a request may start now.
+func (q *Queue) mayStart(now time.Time) bool {
+	return q.inFlight < q.limiter.Limit() && q.rate.ready(now)
 }
 
 // Waiting returns the number of waiting requests.
@@ -126,7 +162,7 @@
 	q.arrivals++
 	t.sequence = q.arrivals
 	t.queuedAt = now
-	if len(q.waiting) == 0 && q.inFlight < q.limiter.Limit() {
+	if len(q.waiting) == 0 && q.mayStart(now) {
 		q.start(now, t)
 		return true, nil
 	}
@@ -134,12 +170,18 @@
 		return false, []*Ticket{t}
 	}
 	q.waiting = append(q.waiting, t)
-	if len(q.waiting) > q.capacity() && (t.Due.IsZero() || len(q.waiting) > maxCapacity) {
+	if len(q.waiting) > q.capacity() && (t.Due.IsZero() || len(q.waiting) > maxCapacity) || !q.startsWithinLimit(t) {
 		return false, []*Ticket{q.remove(q.worst())}
 	}
 	return false, nil
 }
 
+// startsWithinLimit reports whether a request that waits last can start within the time
+// for which it may wait, at the rate that the upstream takes. One request may always wait.
+func (q *Queue) startsWithinLimit(t *Ticket) bool {
+	return float64(len(q.waiting)) <= max(q.rate.within(t.waitLimit()), 1)
+}
+
 // Finish records that a request has finished at the upstream, and returns the
 // waiting requests to run and to refuse.
 func (q *Queue) Finish(now time.Time, t *Ticket, failed bool) (runs, refused []*Ticket) {
@@ -156,13 +198,14 @@
 // requests to run and to refuse.
 func (q *Queue) Abandon(now time.Time, _ *Ticket) (runs, refused []*Ticket) {
 	q.inFlight--
+	q.rate.giveBack()
 	return q.Next(now)
 }
 
 // Next returns the waiting requests to run and to refuse.
 func (q *Queue) Next(now time.Time) (runs, refused []*Ticket) {
 	refused = q.expire(now)
-	for len(q.waiting) > 0 && q.inFlight < q.limiter.Limit() {
+	for len(q.waiting) > 0 && q.mayStart(now) {
 		t := q.remove(q.best())
 		q.start(now, t)
 		runs = append(runs, t)
@@ -186,7 +229,7 @@
 // the time that the requests in flight and waiting are expected to take, at least
 // 50 ms.
 func (q *Queue) RetryAfter() time.Duration {
-	rounds := 1 + float64(len(q.waiting))/float64(max(q.limiter.Limit(), 1))
+	rounds := 1 + float64(len(q.waiting))/float64(max(q.Limit(), 1))
 	return max(time.Duration(rounds*q.meanSeconds*float64(time.Second)), 50*time.Millisecond)
 }
 
@@ -201,6 +244,7 @@
 		q.virtualTime = 0
 	}
 	q.inFlight++
+	q.rate.take()
 	t.started = now
 	q.wait.Observe(now, now.Sub(t.queuedAt))
 	q.virtualTime = max(q.servedTo(t.Customer), q.virtualTime)
@@ -230,7 +274,7 @@
 // is expected to take within maxWait, but no fewer than the limit. Offer lets a
 // request with a due time wait beyond the capacity, up to maxCapacity.
 func (q *Queue) capacity() int {
-	limit := q.limiter.Limit()
+	limit := q.Limit()
 	lowest := max(limit, minCapacity)
 	if q.meanSeconds == 0 {
 		return lowest
--- a/internal/process/gates/sessions_test.go
+++ b/internal/process/gates/sessions_test.go
@@ -47,6 +47,12 @@
 	case "next":
 		runs, refused := s.queue.Next(s.Now)
 		s.show(runs, refused)
+	case "rate": // rate N, 0 for none
+		n, err := strconv.ParseFloat(words[1], 64)
+		assert.NilError(t, err)
+		s.queue.SetRate(s.Now, n)
+	case "repeat": // sends the request of an admitted ticket once more
+		fmt.Fprintf(&s.Out, ": %t", s.queue.TakeRepeat(s.Now))
 	default:
 		t.Fatalf("unknown step %q", words)
 	}
--- a/internal/request/chain/chain.go
+++ b/internal/request/chain/chain.go
@@ -19,6 +19,9 @@
 const (
 	// Header carries an encoded Chain between nodes.
 	Header = "Wasabibend-Chain"
+	// HeaderAlternative tells that a call can be sent to another node, so that it need
+	// not wait until the upstream takes it within its rate.
+	HeaderAlternative = "Wasabibend-Alternative"
 	// HeaderAnswer carries the ID of the call that a response answers.
 	HeaderAnswer = "Wasabibend-Answer"
 	// HeaderRetriesLeft carries the number of retries that a call did not use.
--- a/internal/request/relay/balance.go
+++ b/internal/request/relay/balance.go
@@ -147,6 +147,15 @@
 	return s.failureRate, true
 }
 
+// RateLimited reports whether a node's upstream named a rate when the node last reported
+// its load.
+func (b *Balancer) RateLimited(node netip.AddrPort) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.nodes[node]
+	return s != nil && s.load.RateLimited
+}
+
 // Eject excludes a node from the choice for a time that doubles with each ejection.
 func (b *Balancer) Eject(now time.Time, node netip.AddrPort) {
 	b.mu.Lock()
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -53,7 +53,7 @@
 		return
 	}
 	w.Header()[chain.HeaderAnswer] = []string{callID(c)}
-	lc, refusal := r.enterGate(req.Context(), now, c)
+	lc, refusal := r.enterGate(req.Context(), now, c, req.Header.Get(chain.HeaderAlternative) != "")
 	if refusal != nil {
 		r.refusePeer(w, c, c.Retries, refusal)
 		return
@@ -133,9 +133,10 @@
 	token    string
 }
 
-// enterGate waits until the gate admits a call, or returns a refusal. The method call
+// enterGate waits until the gate admits a call, or returns a refusal. The parameter
+// alternative tells whether the call can be sent to another node. The method call
 // must be called on the result, because it frees the slot at the gate.
-func (r *Relay) enterGate(ctx context.Context, now time.Time, c *chain.Chain) (*localCall, *refuse.Refusal) {
+func (r *Relay) enterGate(ctx context.Context, now time.Time, c *chain.Chain, alternative bool) (*localCall, *refuse.Refusal) {
 	if r.gateClosed.Load() {
 		return nil, refuse.New(refuse.Draining, defaultRetryAfter, "the upstream's node is leaving")
 	}
@@ -147,7 +148,7 @@
 	if wait := r.Crashes.QuarantineLeft(now, c.Fingerprint); wait > 0 {
 		return nil, refuse.New(refuse.Quarantined, wait, "the request crashed the upstreams that ran it")
 	}
-	ticket := &gates.Ticket{Customer: c.Customer, Deadline: deadline, Depth: c.Depth, Importance: c.Importance, Weight: c.Weight}
+	ticket := &gates.Ticket{Customer: c.Customer, Deadline: deadline, Depth: c.Depth, HasAlternative: alternative, Importance: c.Importance, Weight: c.Weight}
 	if c.HasObjective {
 		ticket.Due = now.Add(c.Due)
 	}
@@ -250,6 +251,7 @@
 // observeMaxRate records the number of requests per second that the local upstream takes
 // by its last response, 0 if that names none.
 func (lc *localCall) observeMaxRate(now time.Time, rate float64) {
+	lc.relay.Gate.SetRate(now, rate)
 	before := lc.relay.upstreamMaxRate.Swap(math.Float64bits(rate))
 	if (before == 0) != (rate == 0) {
 		lc.logMaxRate(now, rate)
@@ -280,7 +282,7 @@
 	if !errors.As(err, &sendErr) || !sendErr.StaleConnection || !c.Idempotent || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil {
 		return false
 	}
-	return acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c))
+	return acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
 }
 
 // maxLocalTries is the maximum number of times that one request is sent to the
@@ -300,7 +302,7 @@
 		lc.relay.deniedRetries.observe(now, false)
 		return false
 	}
-	allowed := lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c))
+	allowed := lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
 	lc.relay.deniedRetries.observe(now, !allowed)
 	return allowed
 }
--- a/internal/request/relay/retry_test.go
+++ b/internal/request/relay/retry_test.go
@@ -73,7 +73,7 @@
 			})
 			relay := newRelay(t, netip.AddrPort{}, upstream)
 			relay.Dialect = shedding{}
-			lc, refusal := relay.enterGate(t.Context(), time.Now(), &chain.Chain{Idempotent: c.idempotent, Remaining: 10 * time.Second, Route: "browse", Service: "ledger", Weight: 1})
+			lc, refusal := relay.enterGate(t.Context(), time.Now(), &chain.Chain{Idempotent: c.idempotent, Remaining: 10 * time.Second, Route: "browse", Service: "ledger", Weight: 1}, false)
 			assert.Check(t, refusal == nil)
 			pending, _, refusal := lc.call(&http.Request{Header: make(http.Header), Host: "x", Method: http.MethodGet, URL: &url.URL{Path: "/"}})
 			if c.ran != "" {
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -154,7 +154,8 @@
 			break
 		}
 		var pending *pendingResponse
-		if pending, refusal = s.send(now, node); refusal == nil {
+		alternative := len(tried)+1 < min(len(nodes), maxSends) && s.relay.balancer.RateLimited(node)
+		if pending, refusal = s.send(now, node, alternative); refusal == nil {
 			return pending, nil
 		}
 		last = moreSpecific(last, refusal)
@@ -208,6 +209,9 @@
 		}
 		s.relay.Stats.Retries.Add(string(refusal.Cause), 1)
 		return true
+	case refusal.Cause == refuse.UpstreamLimited:
+		s.relay.Stats.Retries.Add("Limited", 1)
+		return true
 	case refusal.Cause == refuse.Draining, refusal.Cause == refuse.NoUpstream, refusal.Cause == refuse.UpstreamFailed:
 		s.relay.Stats.Retries.Add("NotRun", 1)
 		return true
@@ -234,8 +238,9 @@
 }
 
 // send sends the call to a node. It lets the node use a part of the call's retries
-// and returns the unused ones to the budget.
-func (s *session) send(now time.Time, node netip.AddrPort) (*pendingResponse, *refuse.Refusal) {
+// and returns the unused ones to the budget. With an alternative, the call does not wait
+// for the rate that the node's upstream takes.
+func (s *session) send(now time.Time, node netip.AddrPort, alternative bool) (*pendingResponse, *refuse.Refusal) {
 	part := s.budget.Split()
 	c := s.chain
 	c.Call = s.relay.calls.Add(1)
@@ -252,9 +257,9 @@
 	var left int
 	var refusal *refuse.Refusal
 	if node == s.relay.Self {
-		pending, left, refusal = s.sendLocal(now, &c)
+		pending, left, refusal = s.sendLocal(now, &c, alternative)
 	} else {
-		pending, left, refusal = s.sendPeer(node, &c)
+		pending, left, refusal = s.sendPeer(node, &c, alternative)
 	}
 	s.budget.Return(min(left, part))
 	if refusal != nil {
@@ -279,8 +284,8 @@
 }
 
 // sendLocal sends the call to the local upstream. It returns the unused retries.
-func (s *session) sendLocal(now time.Time, c *chain.Chain) (*pendingResponse, int, *refuse.Refusal) {
-	lc, refusal := s.relay.enterGate(s.ctx, now, c)
+func (s *session) sendLocal(now time.Time, c *chain.Chain, alternative bool) (*pendingResponse, int, *refuse.Refusal) {
+	lc, refusal := s.relay.enterGate(s.ctx, now, c, alternative)
 	if refusal != nil {
 		return nil, c.Retries, refusal
 	}
@@ -290,6 +295,9 @@
 	return pending, left, refusal
 }
 
+// alternativeValue is the value of chain.HeaderAlternative.
+var alternativeValue = []string{"1"}
+
 // observe records the load of a node that responded, for load balancing and for the
 // admission of the route.
 func (s *session) observe(now time.Time, node netip.AddrPort, load gates.Load) {
@@ -300,7 +308,7 @@
 }
 
 // sendPeer sends the call to another node. It returns the unused retries.
-func (s *session) sendPeer(node netip.AddrPort, c *chain.Chain) (*pendingResponse, int, *refuse.Refusal) {
+func (s *session) sendPeer(node netip.AddrPort, c *chain.Chain, alternative bool) (*pendingResponse, int, *refuse.Refusal) {
 	encoded, err := c.Encode()
 	if err != nil {
 		return nil, c.Retries, refuse.New(refuse.BadRequest, 0, "%v", err)
@@ -309,6 +317,9 @@
 	request.Header[chain.Header] = []string{encoded}
 	request.Header[headerUserAgent] = noUserAgent
 	request.Header[fleet.Header] = []string{s.relay.proofFor(node)}
+	if alternative {
+		request.Header[chain.HeaderAlternative] = alternativeValue
+	}
 	response, err := s.relay.Pool.Do(s.ctx, &pool.Call{
 		AwaitContinue:   s.upload != nil,
 		Deadline:        s.deadline,
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -98,7 +98,7 @@
 }
 
 // formatLoad returns the header form of a load: requests in flight, limit, waiting
-// requests and wait in milliseconds, separated by commas.
+// requests and wait in milliseconds, separated by commas, and a 1 if the rate is limited.
 func formatLoad(load gates.Load) string {
 	b := make([]byte, 0, typicalLoadLength)
 	for i, n := range [...]int64{int64(load.InFlight), int64(load.Limit), int64(load.Waiting), load.Wait.Milliseconds()} {
@@ -107,9 +107,16 @@
 		}
 		b = strconv.AppendInt(b, n, 10)
 	}
+	if load.RateLimited {
+		b = append(b, rateLimitedSuffix...)
+	}
 	return string(b)
 }
 
+// rateLimitedSuffix ends the header form of a load whose rate is limited. Nodes of earlier
+// versions ignore it.
+const rateLimitedSuffix = ",1"
+
 // typicalLoadLength is the usual length in bytes of a load's header form.
 const typicalLoadLength = 24
 
@@ -125,5 +132,5 @@
 		numbers[i] = n
 		text = rest
 	}
-	return gates.Load{InFlight: numbers[0], Limit: numbers[1], Wait: time.Duration(numbers[3]) * time.Millisecond, Waiting: numbers[2]}, true
+	return gates.Load{InFlight: numbers[0], Limit: numbers[1], RateLimited: text == rateLimitedSuffix[1:], Wait: time.Duration(numbers[3]) * time.Millisecond, Waiting: numbers[2]}, true
 }
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -45,6 +45,7 @@
 	Shed             Cause = "Shed"
 	TokenRejected    Cause = "TokenRejected"
 	UpstreamFailed   Cause = "UpstreamFailed"
+	UpstreamLimited  Cause = "UpstreamLimited"
 )
 
 // statuses are the HTTP status codes of the causes.
@@ -71,6 +72,7 @@
 	Shed:             http.StatusServiceUnavailable,
 	TokenRejected:    http.StatusForbidden,
 	UpstreamFailed:   http.StatusBadGateway,
+	UpstreamLimited:  http.StatusServiceUnavailable,
 }
 
 // Ran says whether the refused request may have had effects.
