--- a/internal/process/gates/queue.go
+++ b/internal/process/gates/queue.go
@@ -42,7 +42,7 @@
 	// does not wait for the rate of this one.
 	HasAlternative bool
 	Importance     int
-	Weight     float64
+	Weight         float64
 
 	decided  chan bool // receives whether a waiting request is admitted
 	sequence uint64    // of its arrival
