Drain an upstream that says in a response that it leaves

An upstream was known to drain by its reports alone; one whose report did not arrive went on getting requests.

TestUpstream has the cases of late responses of an earlier start and of a later report that it is ready.

--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -132,6 +132,16 @@
 	u.announcedAt = time.Time{}
 }
 
+// MarkLeaving marks an instance of the upstream as draining, because it has said in a
+// response that it is about to end. It implements relay.LocalUpstream.
+func (u *upstream) MarkLeaving(instance string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.current.Instance == instance {
+		u.current.Draining = true
+	}
+}
+
 // state returns the upstream's service and its readiness at the time now.
 func (u *upstream) state(now time.Time) (string, member.Readiness) {
 	u.mu.Lock()
--- a/internal/process/node/upstream_test.go
+++ b/internal/process/node/upstream_test.go
@@ -33,6 +33,12 @@
 			return true
 		}
 	}
+	leave := func(instance string) func(time.Time) bool {
+		return func(time.Time) bool {
+			u.MarkLeaving(instance)
+			return true
+		}
+	}
 	noEvent := func(time.Time) bool { return true }
 	for _, c := range []struct {
 		name     string
@@ -52,9 +58,12 @@
 		{"deregistration without a previous draining announcement", 6 * time.Second, deregister("b", time.Time{}), true, member.Draining},
 		{"announcement of a deregistered start", 7 * time.Second, announce("b", born(4), 2, false), false, member.Draining},
 		{"new start with the same instance ID", 8 * time.Second, announce("b", born(8), 1, false), true, member.Ready},
-		{"announcement has expired", 18 * time.Second, noEvent, true, member.Absent},
-		{"deregistration of an instance that has not announced itself", 18 * time.Second, deregister("c", born(20)), true, member.Absent},
-		{"late announcement of that instance", 19 * time.Second, announce("c", born(20), 1, false), false, member.Absent},
+		{"response of an earlier instance that it leaves", 8 * time.Second, leave("a"), true, member.Ready},
+		{"response that it leaves", 9 * time.Second, leave("b"), true, member.Draining},
+		{"later announcement does not revoke leaving", 9 * time.Second, announce("b", born(8), 2, false), true, member.Draining},
+		{"announcement has expired", 19 * time.Second, noEvent, true, member.Absent},
+		{"deregistration of an instance that has not announced itself", 19 * time.Second, deregister("c", born(20)), true, member.Absent},
+		{"late announcement of that instance", 20 * time.Second, announce("c", born(20), 1, false), false, member.Absent},
 	} {
 		now := start.Add(c.after)
 		assert.Equal(t, c.do(now), c.accepted, c.name)
--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -48,6 +48,9 @@
 // MarkDown implements LocalUpstream.
 func (fakeDeps) MarkDown() {}
 
+// MarkLeaving implements LocalUpstream.
+func (fakeDeps) MarkLeaving(string) {}
+
 // ReportCrash implements CrashDetector.
 func (fakeDeps) ReportCrash(time.Time) {}
 
--- a/internal/request/relay/dialect.go
+++ b/internal/request/relay/dialect.go
@@ -39,6 +39,8 @@
 	// Instance is the ID of the upstream's instance that responded, empty if
 	// unknown.
 	Instance string
+	// Leaving is set if the upstream is about to end and takes no new requests.
+	Leaving bool
 	// MaxRate is the number of requests per second that the upstream takes in all, 0 if
 	// it names none.
 	MaxRate float64
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -244,6 +244,9 @@
 	})
 	if err == nil && !info.AddressReused {
 		lc.observeMaxRate(time.Now(), info.MaxRate)
+		if info.Leaving {
+			lc.relay.Local.MarkLeaving(lc.instance)
+		}
 	}
 	return response, info, err
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -90,6 +90,9 @@
 type LocalUpstream interface {
 	// MarkDown marks the upstream as down until it announces itself again.
 	MarkDown()
+	// MarkLeaving marks an instance of the upstream as about to end. It takes no new
+	// requests.
+	MarkLeaving(instance string)
 	// Upstream returns the address of the upstream and the ID of its instance,
 	// or false if it does not accept requests for the service.
 	Upstream(service string) (address netip.AddrPort, instance string, ok bool)
