Restore the store and check added routes in the soak

The soak sends requests to added routes, but did not check that they are known to all nodes once faults are over, and had no store that comes back from an older copy.

It checks now that no node refuses an added route 5 s after the last fault, and restores the store from a copy that is 0.3 to 5 s old, after which the operator writes the configuration again. TestCheck has both sides of the new guarantee.

--- a/internal/cmds/soak/check.go
+++ b/internal/cmds/soak/check.go
@@ -36,6 +36,7 @@
 // Guarantees with a time bound. They may be violated merely because the machine is
 // busy with other work.
 const (
+	guaranteeAdded     = "a route that was added is known to all nodes soon after the last fault"
 	guaranteeDrain     = "a draining upstream gets no new requests after its drain time"
 	guaranteeRate      = "a customer is not served beyond its rate and burst"
 	guaranteeRecovery  = "all nodes serve again soon after the last fault"
@@ -95,6 +96,7 @@
 		c.checkRate()
 		c.checkRecovery()
 		for i := range obs.Outcomes {
+			c.checkAdded(&obs.Outcomes[i])
 			c.checkWithdrawn(&obs.Outcomes[i])
 			c.checkStop(&obs.Outcomes[i])
 		}
@@ -213,6 +215,21 @@
 // faults are left. It is the bound that the users require on an idle machine.
 const settleTime = 5 * time.Second
 
+// checkAdded checks that a request on a route that was added is not refused as invalid
+// after settleTime, which begins at the end of all faults.
+func (c *checker) checkAdded(o *Outcome) {
+	if o.Response == nil || !slices.Contains(c.AddedRoutes, o.Route) || !o.Sent.After(c.FaultsEnded.Add(settleTime)) {
+		return
+	}
+	if _, withdrawn := c.WithdrawnKeys["key-"+o.Customer]; withdrawn {
+		return
+	}
+	switch o.Response.Status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		c.addViolation(guaranteeAdded, "%s to route %s got status %d at host %d %v after the last fault", o.ID, o.Route, o.Response.Status, o.Host+1, o.Sent.Sub(c.FaultsEnded))
+	}
+}
+
 // checkWithdrawn checks that a request with a withdrawn key did not run after
 // settleTime, which begins at the end of all faults or at the withdrawal if that was
 // later.
--- a/internal/cmds/soak/check_test.go
+++ b/internal/cmds/soak/check_test.go
@@ -72,6 +72,18 @@
 			obs.WithdrawnKeys = map[string]time.Time{"key-amis": start.Add(-time.Minute)}
 			obs.FaultsEnded = start.Add(-time.Minute)
 		}, guaranteeWithdrawn},
+		{"added route unknown long after the last fault", func(obs *Observations) {
+			obs.AddedRoutes, obs.FaultsEnded = []string{"added0"}, start.Add(-time.Minute)
+			obs.Outcomes[0].Route = "added0"
+			obs.Outcomes[0].Response = &mimic.Response{Status: http.StatusNotFound}
+			obs.Records = nil
+		}, guaranteeAdded},
+		{"added route unknown just after the last fault", func(obs *Observations) {
+			obs.AddedRoutes, obs.FaultsEnded = []string{"added0"}, start
+			obs.Outcomes[0].Route = "added0"
+			obs.Outcomes[0].Response = &mimic.Response{Status: http.StatusNotFound}
+			obs.Records = nil
+		}, ""},
 		{"cut during a graceful stop", func(obs *Observations) {
 			obs.Events = []Event{{At: 0, Fault: StopNode}}
 			obs.Outcomes[0].Response, obs.Outcomes[0].Err = nil, io.EOF
--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -149,7 +149,7 @@
 		return nil, trace.Wrap(err)
 	}
 	obs.RecoveryTime = time.Since(obs.FaultsEnded)
-	if err := pause.For(ctx, time.Until(obs.FaultsEnded.Add(settleTime+time.Second))); err != nil {
+	if err := pause.For(ctx, time.Until(obs.FaultsEnded.Add(settleTime+checkedTime))); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	endCallers()
@@ -159,6 +159,10 @@
 	return obs, trace.Wrap(err)
 }
 
+// checkedTime is how long requests are sent after settleTime, for the guarantees that hold
+// from then on.
+const checkedTime = 2 * time.Second
+
 // Poll interval and timeout of awaitRecovery.
 const (
 	recoveryPollInterval = 50 * time.Millisecond
--- a/internal/cmds/soak/operator.go
+++ b/internal/cmds/soak/operator.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -84,10 +85,14 @@
 			o.catalog, o.revision = next, revision
 			return nil
 		}
-		// The write may have taken effect although its response was lost.
-		if object, getErr := o.store.Get(ctx, key); getErr == nil && object.Version > o.revision {
-			o.catalog, o.revision = next, object.Version
-			return nil
+		// The write may have taken effect although its response was lost, and the store
+		// may have been restored from an older copy.
+		if object, getErr := o.store.Get(ctx, key); getErr == nil {
+			o.revision = object.Version
+			if bytes.Equal(object.Value, value) {
+				o.catalog = next
+				return nil
+			}
 		}
 		if pauseErr := pause.For(ctx, 100*time.Millisecond); pauseErr != nil {
 			return trace.Wrap(err)
@@ -95,6 +100,14 @@
 	}
 }
 
+// rewrite writes the current configuration again after the store was restored from an
+// older copy.
+func (o *operator) rewrite(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.write(ctx, o.catalog)
+}
+
 // nextCatalog returns a copy of the configuration with a higher version. The lock
 // must be held.
 func (o *operator) nextCatalog() rows.Catalog {
--- a/internal/cmds/soak/plan.go
+++ b/internal/cmds/soak/plan.go
@@ -25,8 +25,9 @@
 	CutZone       Fault = "CutZone"
 	CutStore      Fault = "CutStore" // blocks a host's connections to the store
 	StoreDown     Fault = "StoreDown"
-	StoreForgets  Fault = "StoreForgets" // the store has lost its history of changes, so watches fail
-	StoreLoses    Fault = "StoreLoses"   // responses to some writes are lost
+	StoreForgets  Fault = "StoreForgets"  // the store has lost its history of changes, so watches fail
+	StoreLoses    Fault = "StoreLoses"    // responses to some writes are lost
+	StoreRestored Fault = "StoreRestored" // the store comes back from a copy that is as old as the event is long
 	StoreSlow     Fault = "StoreSlow"
 	ChangeCatalog Fault = "ChangeCatalog" // adds a route
 	WithdrawKey   Fault = "WithdrawKey"
@@ -37,7 +38,7 @@
 var allFaults = []Fault{
 	KillNode, KillNode, PauseNode, PauseNode, StopNode, StopNode, StopNode, KillUpstream, LeaveUpstream, LeaveUpstream,
 	DelayNode, ResetNode, SilenceToNode, SilenceNode, ForgetAll, CutZone, CutStore,
-	StoreDown, StoreForgets, StoreLoses, StoreSlow, ChangeCatalog, ChangeCatalog, WithdrawKey,
+	StoreDown, StoreForgets, StoreLoses, StoreRestored, StoreSlow, ChangeCatalog, ChangeCatalog, WithdrawKey,
 }
 
 // Event is a fault with its time and target.
--- a/internal/cmds/soak/testbed.go
+++ b/internal/cmds/soak/testbed.go
@@ -186,6 +186,8 @@
 		return b.injectStoreFault(ctx, e, objapi.Faults{Forget: 1 << 62})
 	case StoreLoses:
 		return b.injectStoreFault(ctx, e, objapi.Faults{LoseAnswers: 3})
+	case StoreRestored:
+		return b.restoreStore(ctx, e, o)
 	case StoreSlow:
 		return b.injectStoreFault(ctx, e, objapi.Faults{Delay: 300 * time.Millisecond})
 	case ChangeCatalog:
@@ -265,6 +267,29 @@
 	return trace.Wrap(b.fleet.SetFaults(ctx, objapi.Faults{}))
 }
 
+// storeAwayTime is how long the store is away before it comes back from a copy.
+const storeAwayTime = 300 * time.Millisecond
+
+// restoreStore makes a copy of the store and restores the store from it after the duration
+// of the event. The operator then writes the configuration again.
+func (b *testbed) restoreStore(ctx context.Context, e Event, o *operator) error {
+	if err := b.fleet.CopyPlatform(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	time.Sleep(e.Duration)
+	if err := b.fleet.SetFaults(ctx, objapi.Faults{Down: true}); err != nil {
+		return trace.Wrap(err)
+	}
+	time.Sleep(storeAwayTime)
+	if err := b.fleet.RestorePlatform(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := b.fleet.SetFaults(ctx, objapi.Faults{}); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(o.rewrite(ctx))
+}
+
 // recreateDir returns an empty directory for the logs of a seed. It deletes those of
 // earlier runs.
 func recreateDir(parent string, seed uint64) (string, error) {
--- a/internal/fakes/objapi/objapi.go
+++ b/internal/fakes/objapi/objapi.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,12 +67,13 @@
 	return func(c *Counts) *int { return &c.Reads }
 }
 
-// Server is the http.Handler of the object API, /counts and /faults. mu guards
-// the fields below it.
+// Server is the http.Handler of the object API, /copy, /counts, /faults and /restore. mu
+// guards the fields below it.
 type Server struct {
 	router *httprouter.Router
 
 	mu          sync.Mutex
+	backup      Copy          // made by a PUT of /copy
 	changed     chan struct{} // closed and replaced when objects, the era or faults change
 	counts      Counts
 	era         uint64 // number of restores
@@ -93,8 +93,10 @@
 	s.router.GET(pathName, s.get)
 	s.router.PUT(pathName, s.injectFaults(s.replace, writes))
 	s.router.DELETE(pathName, s.injectFaults(s.remove, writes))
+	s.router.PUT("/copy", s.putCopy)
 	s.router.GET("/counts", s.getCounts)
 	s.router.PUT("/faults", s.putFaults)
+	s.router.PUT("/restore", s.putRestore)
 	return s
 }
 
@@ -112,31 +114,6 @@
 	s.changed = make(chan struct{})
 }
 
-// Copy is a copy of a Server's objects, from which it can be restored.
-type Copy struct {
-	objects  map[string]store.Object
-	revision uint64
-}
-
-// Copy returns a copy of the objects.
-func (s *Server) Copy() Copy {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Copy{objects: maps.Clone(s.objects), revision: s.revision}
-}
-
-// Restore replaces the objects by those of a copy and begins a new era. Changes made
-// since the copy are lost and their revisions are assigned again. Watches that wait are
-// cut off.
-func (s *Server) Restore(c Copy) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.objects, s.revision = maps.Clone(c.objects), c.revision
-	s.era++
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // Counts returns the numbers of calls received.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
--- a/internal/fakes/procs/fleet.go
+++ b/internal/fakes/procs/fleet.go
@@ -273,7 +273,22 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, f.PlatformURL+"/faults", bytes.NewReader(data))
+	return trace.Wrap(f.putPlatform(ctx, "/faults", data))
+}
+
+// CopyPlatform makes the fake platform keep a copy of its objects.
+func (f *Fleet) CopyPlatform(ctx context.Context) error {
+	return trace.Wrap(f.putPlatform(ctx, "/copy", nil))
+}
+
+// RestorePlatform restores the fake platform's objects from the copy.
+func (f *Fleet) RestorePlatform(ctx context.Context) error {
+	return trace.Wrap(f.putPlatform(ctx, "/restore", nil))
+}
+
+// putPlatform sends a PUT request to the fake platform.
+func (f *Fleet) putPlatform(ctx context.Context, path string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, f.PlatformURL+path, bytes.NewReader(body))
 	if err != nil {
 		return trace.Wrap(err)
 	}
