Pull changes without waiting for nodes that do not answer

Its logs show nodes that announce a change to a peer that does not answer, each 0.8 s, while hosts are stopped one after the other.

Cause found: a node that had pulled a change told its peers of it, and passed on records of members, before it looked for the next change. Each peer that does not answer made it wait for 0.8 s, twice in the worst case, at each node on the way, of the two seconds within which a change must be in force.

Records and announcements are sent beside the pulls.

--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -131,6 +131,8 @@
 
 // pendingLoop runs processPending whenever enqueue has added work.
 func (a *Agent) pendingLoop(ctx context.Context) {
+	var senders conc.WaitGroup
+	defer senders.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,7 +141,7 @@
 			if pause.For(ctx, newsDelay) != nil {
 				return
 			}
-			a.processPending(ctx)
+			a.processPending(ctx, &senders)
 		}
 	}
 }
@@ -184,20 +186,24 @@
 }
 
 // processPending sends the records of the outbox, and pulls the feeds from a peer
-// that is ahead. If this brought changes, it announces them.
-func (a *Agent) processPending(ctx context.Context) {
+// that is ahead. If this brought changes, it announces them. It does not wait until
+// records and announcements are sent, as peers that do not answer would delay the
+// next pull.
+func (a *Agent) processPending(ctx context.Context, senders *conc.WaitGroup) {
 	a.mu.Lock()
 	ahead, records := a.aheadPeer, a.outbox
 	a.aheadPeer, a.outbox = netip.AddrPort{}, nil
 	a.mu.Unlock()
-	a.SendToNeighbours(ctx, records)
+	if len(records) > 0 {
+		senders.Go(func() { a.SendToNeighbours(ctx, records) })
+	}
 	if !ahead.IsValid() {
 		return
 	}
 	pullCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	if a.pullAll(pullCtx, ahead) {
-		a.Announce(ctx)
+		senders.Go(func() { a.Announce(ctx) })
 	}
 }
 
--- a/internal/process/member/watch_test.go
+++ b/internal/process/member/watch_test.go
@@ -111,3 +111,51 @@
 		}
 	})
 }
+
+// TestAnnounceSilentNodes guards against changes that reach nodes late because others do
+// not answer, as hosts that are down do where packets to them are dropped: a node must
+// not wait for those before it pulls the next change. Hosts are restarted meanwhile, so
+// that there are records to pass on. Half of the two seconds within which a change must
+// be in force is left for finding it in the platform's store.
+func TestAnnounceSilentNodes(t *testing.T) {
+	const maxDelay = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newCluster(ctx, t, 13)
+		time.Sleep(20 * time.Second)
+		zone := s.zone("zone0")
+		watcher, silent, alive := zone[0], zone[len(zone)-1], zone[1:len(zone)-1]
+		for _, a := range s.nodes {
+			if a != silent {
+				s.net.SetPartitioned(a.table.Self().Peers, silent.table.Self().Peers, true)
+			}
+		}
+		go func() {
+			for ready := Ready; ctx.Err() == nil; ready = Ready + Draining - ready {
+				r, _ := alive[0].table.SetSelf(time.Now(), "ledger", ready)
+				alive[0].QueueForNeighbours([]Record{r})
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		var worst time.Duration
+		for version := uint64(1); version <= 30; version++ {
+			watcher.feeds[0].Apply(snaps.Delta{From: version - 1, Objects: []store.Object{{Key: "x", Value: []byte("1"), Version: version}}, Revision: version})
+			go watcher.Announce(ctx)
+			changed := time.Now()
+			for i := 0; i < len(alive); {
+				if alive[i].feeds[0].Snapshot().Revision() >= version {
+					i++
+					continue
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			worst = max(worst, time.Since(changed))
+			time.Sleep(150 * time.Millisecond)
+		}
+		t.Logf("the slowest change reached all nodes after %v", worst)
+		assert.Check(t, worst <= maxDelay, "a change reached all nodes only after %v", worst)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
