Bound the bytes that are read of the heads of responses

An upstream in trouble may send bytes that are no answer without end, until the caller closes. Nothing but the deadline bounded what was read of a head: one line, lines, or interim responses.

TestEndlessResponses sends such bytes at 16 MB/s in virtual time. Chunks and trailers were bounded by net/http already.

The body of an accepted response is passed on as it comes; TestEndlessBody holds that nothing more is read once the caller has closed it.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -12,6 +12,7 @@
 // conn is a connection with its buffers. It carries one request at a time.
 type conn struct {
 	net.Conn
+	limit       *readLimit // of reader
 	reader      *bufio.Reader
 	idleTime    time.Duration // before the current request; 0 for a new connection
 	usedAt      time.Time     // end of the last exchange
@@ -23,8 +24,8 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc}
-	c.reader = bufio.NewReaderSize(nc, bufferSize)
+	c := &conn{Conn: nc, limit: &readLimit{left: noLimit, reader: nc}}
+	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
 	c.writer = bufio.NewWriterSize(nc, bufferSize)
 	return c
 }
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -16,6 +16,7 @@
 type exchange struct {
 	call            *Call
 	conn            *conn
+	headsBytes      int           // read so far of the heads of responses
 	continueBody    *continueBody // nil if the call does not await 100 Continue
 	responseStarted bool          // whether a part of a response has been read
 	pool            *Pool
@@ -34,7 +35,7 @@
 		return nil, err
 	}
 	skipped := 0
-	for range maxInterim {
+	for e.headsBytes < maxHeadsBytes {
 		if err := e.setHeaderDeadline(); err != nil {
 			return nil, err
 		}
@@ -42,7 +43,7 @@
 			return nil, err
 		}
 		e.responseStarted = true
-		response, err := http.ReadResponse(e.conn.reader, e.call.Request)
+		response, err := e.readHead()
 		if err != nil {
 			return nil, err
 		}
@@ -66,14 +67,27 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// readHead reads the head of the next response, of which it reads at most maxHeadBytes.
+func (e *exchange) readHead() (*http.Response, error) {
+	limit, buffered := e.conn.limit, e.conn.reader.Buffered()
+	limit.left = maxHeadBytes
+	response, err := http.ReadResponse(e.conn.reader, e.call.Request)
+	e.headsBytes += buffered + maxHeadBytes - limit.left - e.conn.reader.Buffered()
+	limit.left = noLimit
+	return response, err
+}
+
 // skip reads and discards a response to another request. It returns errMismatch
-// if no other response can follow on the connection.
+// if no other response can follow on the connection, or if the body has more than
+// maxSkippedBytes.
 func (e *exchange) skip(response *http.Response) error {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.Close {
 		return errMismatch
 	}
-	_, err := io.Copy(io.Discard, response.Body)
-	return err
+	if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1)); err != nil || n > maxSkippedBytes {
+		return errors.Join(errMismatch, err)
+	}
+	return nil
 }
 
 // setHeaderDeadline limits the wait for the header of the next response, which may
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -21,9 +21,11 @@
 const (
 	bufferSize        = 4 << 10 // bytes
 	dialTimeout       = 500 * time.Millisecond
-	maxIdlePerAddress = 64     // connections
-	maxInterim        = 100000 // interim responses to a request
-	maxSkipped        = 4      // responses to other requests
+	maxHeadBytes      = 64 << 10 // of a response
+	maxHeadsBytes     = 1 << 20  // of all responses to a request, interim ones included
+	maxSkippedBytes   = 64 << 10 // of the body of a response to another request
+	maxIdlePerAddress = 64       // connections
+	maxSkipped        = 4        // responses to other requests
 	// maxIdleTime is how long a connection may be idle and still be reused. It is
 	// less than the time after which servers close idle connections. It also ensures
 	// that a reused connection has worked this recently.
