Keep the HTTP server from reading a body that is being forwarded

Cause: when a handler begins its response, net/http reads and discards up to 256 KiB of the request's body, unless the handler asks for full duplex. A node begins it as soon as the upstream answers, while another goroutine still forwards the body. The two took turns in reading, and the upstream got the body with parts missing. It happened at the entry and at the node beside the upstream, for bodies of which less than 256 KiB were left.

TestEarlyAnswer failed before ("the upstream got other bytes than the caller sent", and the answer was cut) and passes: a response that begins before the body has been read uses full duplex. Its connection is closed afterwards, because net/http then does not tell what is left of the body from the next request; tried first without: the server panicked with "invalid concurrent Body.Read call", or answered the rest of the body with 400. The server may discard the rest for a second, so that a caller who still sends does not lose the response to a reset. TestEarlyCompleteAnswer holds both.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// beginResponse prepares the response to the request whose body is u, which may be nil. If
+// the body has not been read completely, the HTTP server must not read it when the header
+// is written, as parts of it are still to be forwarded. The connection is then closed
+// after the response, so that the rest of the body is not taken for another request.
+func (u *upload) beginResponse(header http.Header) {
+	if u == nil || u.complete.Load() {
+		return
+	}
+	header["Connection"] = []string{"close"}
+	// An error means that the response is not sent by an HTTP server.
+	_ = u.control.EnableFullDuplex()
+}
+
 // Read implements io.Reader. It limits the idle time of each read and the total
 // size, and cancels the call when the caller's body is cut or too large.
 func (u *upload) Read(p []byte) (int, error) {
@@ -93,8 +106,12 @@
 	return nil
 }
 
+// discardTime is how long the HTTP server may discard the rest of a body after the
+// response. A caller that still sends when its connection is closed may lose the response.
+const discardTime = time.Second
+
 // stop ends a pending read of the caller's body and fails later ones. If the body
-// was not read completely, the caller's connection cannot be reused.
+// was not read completely, the server reads on for discardTime at most.
 func (u *upload) stop() {
 	if !u.complete.Load() {
 		_ = u.control.SetReadDeadline(time.Unix(1, 0))
@@ -102,6 +119,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closed = true
+	if !u.complete.Load() {
+		_ = u.control.SetReadDeadline(time.Now().Add(discardTime))
+	}
 }
 
 // readSmallBody reads a body of a known length completely. It returns an error if
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -80,7 +80,7 @@
 		return s.refuse(s.withEndReason(refusal))
 	}
 	status := pending.response.StatusCode
-	r.stream(w, pending)
+	r.stream(w, pending, s.upload)
 	return nil, status
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -21,8 +21,9 @@
 }}
 
 // stream writes a response to w. If its body is cut, it aborts the connection with
-// http.ErrAbortHandler, so that the response does not look complete.
-func (r *Relay) stream(w http.ResponseWriter, pending *pendingResponse) {
+// http.ErrAbortHandler, so that the response does not look complete. The request may still
+// be read from the upload, which may be nil.
+func (r *Relay) stream(w http.ResponseWriter, pending *pendingResponse, u *upload) {
 	response := pending.response
 	header := w.Header()
 	for name, values := range response.Header {
@@ -36,6 +37,7 @@
 	if r.keepAlivesDisabled.Load() {
 		header.Set("Connection", "close")
 	}
+	u.beginResponse(header)
 	r.Stats.Answers.Add(strconv.Itoa(response.StatusCode/100)+"xx", 1)
 	w.WriteHeader(response.StatusCode)
 	complete := false
