Compare the positions of nodes by the store's era in their status

The status command marked the nodes with a lower revision as behind. After a restore those are the nodes that have the newer state. It compares era and revision now, and the status shows the era and the version of the catalog in force. TestPrintStatus has a node in a later era with a lower revision; before, that node was marked as behind instead of the others.

--- a/internal/cmdln/statuscmd.go
+++ b/internal/cmdln/statuscmd.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/pkg/admin"
 )
 
@@ -53,12 +54,7 @@
 }
 
 func printStatus(c *console, statuses []nodeStatus) error {
-	var newestRevision uint64
-	for _, s := range statuses {
-		if s.Status != nil {
-			newestRevision = max(newestRevision, s.Status.Revision)
-		}
-	}
+	newest := newestPosition(statuses)
 	newestSettings := newestSettings(statuses)
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "NODE\tZONE\tSERVICE\tUPSTREAM\tREVISION\tAGE\tNODES\tFLIGHT/LIMIT\tALLOCATES\tSETTINGS\tREFUSALS")
@@ -68,7 +64,7 @@
 			continue
 		}
 		revision := fmt.Sprint(s.Status.Revision)
-		if s.Status.Revision < newestRevision {
+		if positionOf(s.Status).Before(newest) {
 			revision += " (behind)"
 		}
 		age := "never"
@@ -80,6 +76,23 @@
 	return trace.Wrap(w.Flush())
 }
 
+// newestPosition returns the latest position of the platform's store that is in force on
+// any of the nodes.
+func newestPosition(statuses []nodeStatus) store.Position {
+	var newest store.Position
+	for _, s := range statuses {
+		if s.Status != nil && newest.Before(positionOf(s.Status)) {
+			newest = positionOf(s.Status)
+		}
+	}
+	return newest
+}
+
+// positionOf returns the position of the platform's store that is in force on a node.
+func positionOf(status *admin.Status) store.Position {
+	return store.Position{Era: status.Era, Revision: status.Revision}
+}
+
 // newestSettings returns the digest of the settings that were loaded last on any of the
 // nodes.
 func newestSettings(statuses []nodeStatus) string {
--- a/internal/cmdln/statuscmd_test.go
+++ b/internal/cmdln/statuscmd_test.go
@@ -11,13 +11,16 @@
 )
 
 // TestPrintStatus guards against a status that does not show which nodes have not taken
-// the newest version of the settings file, and why.
+// the newest version of the settings file, and why, or which nodes are behind in a store
+// that was restored from an older copy.
 func TestPrintStatus(t *testing.T) {
 	loaded := time.Unix(1000, 0)
 	node := func(n byte, settings admin.Settings) nodeStatus {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 8003)
 		return nodeStatus{Node: address, Status: &admin.Status{AgeMS: 400, Limit: 30, Readiness: "Ready", Revision: 7, Service: "ledger", Settings: settings, Zone: "a"}}
 	}
+	restored := node(6, admin.Settings{Digest: "3f2a9c", LoadedAt: loaded.Add(time.Minute)})
+	restored.Status.Era, restored.Status.Revision = 1, 5
 	var out strings.Builder
 	if err := printStatus(&console{out: &out}, []nodeStatus{
 		node(1, admin.Settings{Digest: "3f2a9c", LoadedAt: loaded.Add(time.Minute)}),
@@ -25,6 +28,7 @@
 		node(3, admin.Settings{Digest: "81d0e2", LoadedAt: loaded, Rejected: "Drain: want a duration"}),
 		node(4, admin.Settings{Digest: "77aa01", LoadedAt: loaded.Add(time.Second), Pending: []string{"Expiry", "Zones"}}),
 		{Node: netip.MustParseAddrPort("10.0.0.5:8003"), Error: "10.0.0.5:8003 does not answer"},
+		restored,
 	}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -58,9 +58,11 @@
 func (n *Node) status(now time.Time) *admin.Status {
 	self := n.table.Self()
 	load := n.gate.Load(now)
+	position := n.config.Snapshot().Position()
 	status := &admin.Status{
 		AgeMS:      -1,
 		Allocators: n.quota.HeldShards(),
+		Era:        position.Era,
 		InFlight:   load.InFlight,
 		Leaving:    n.relay.KeepAlivesDisabled(),
 		Limit:      load.Limit,
@@ -69,13 +71,16 @@
 		Readiness:  self.Readiness.String(),
 		Refusals:   make(map[string]int64),
 		Rejected:   n.config.Rejected(),
-		Revision:   n.config.Snapshot().Revision(),
+		Revision:   position.Revision,
 		Service:    self.Service,
 		Settings:   n.settingsStatus(),
 		Version:    n.version,
 		Waiting:    load.Waiting,
 		Zone:       self.Zone,
 	}
+	if n.catalog != nil {
+		status.Catalog = n.catalog.Snapshot().CatalogVersion()
+	}
 	if age, known := n.config.Age(now); known {
 		status.AgeMS = age.Milliseconds()
 	}
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -79,9 +79,13 @@
 	AgeMS int64
 	// Allocators are the numbers of the shards whose rate allocators the node holds.
 	Allocators []int
-	InFlight   int
-	Leaving    bool
-	Limit      int
+	// Catalog is the version of the catalog in force, 0 for none.
+	Catalog uint64 `json:",omitempty"`
+	// Era is the era of the platform's store to which Revision belongs.
+	Era      uint64 `json:",omitempty"`
+	InFlight int
+	Leaving  bool
+	Limit    int
 	// MaxRate is the number of requests per second that the upstream takes by its last
 	// response, 0 if it names none.
 	MaxRate   float64 `json:",omitempty"`
@@ -92,7 +96,8 @@
 	Refusals map[string]int64
 	// Rejected is the number of versions of objects that could not be decoded.
 	Rejected int
-	// Revision is the revision of the configuration in force.
+	// Revision is the revision of the configuration in force. A store that was restored
+	// from an older copy assigns revisions again, in a later era.
 	Revision uint64
 	Service  string
 	// Settings tells which version of the settings file is in force.
