--- a/internal/cmds/soak/check.go
+++ b/internal/cmds/soak/check.go
@@ -255,7 +255,7 @@
 	sent := o.Sent.Sub(c.PlanStart)
 	stopping := false
 	for _, e := range c.Events {
-		if e.Fault == StopNode && e.Host == o.Host && sent >= e.At-callerTimeout && sent <= e.At+gracefulStopTimeout {
+		if (e.Fault == StopNode || e.Fault == StopHost) && e.Host == o.Host && sent >= e.At-callerTimeout && sent <= e.At+gracefulStopTimeout {
 			stopping = true
 		} else if !e.mustNotCut() && sent >= e.At-callerTimeout && sent <= e.At+e.Duration+callerTimeout {
 			return
@@ -270,7 +270,7 @@
 // stop, a change of the configuration, or a fault of the store.
 func (e *Event) mustNotCut() bool {
 	switch e.Fault {
-	case StopNode, LeaveUpstream, ChangeCatalog, WithdrawKey, StoreDown, StoreForgets, StoreLoses, StoreSlow:
+	case StopHost, StopNode, LeaveUpstream, ChangeCatalog, WithdrawKey, StoreDown, StoreForgets, StoreLoses, StoreRestored, StoreSlow:
 		return true
 	}
 	return false
--- a/internal/cmds/soak/plan.go
+++ b/internal/cmds/soak/plan.go
@@ -15,6 +15,7 @@
 	KillNode      Fault = "KillNode"
 	PauseNode     Fault = "PauseNode"
 	StopNode      Fault = "StopNode" // stops it gracefully and restarts it
+	StopHost      Fault = "StopHost" // like StopNode, but peers get no answer at all until the restart
 	KillUpstream  Fault = "KillUpstream"
 	LeaveUpstream Fault = "LeaveUpstream" // stops it gracefully and restarts it
 	DelayNode     Fault = "DelayNode"
@@ -36,7 +37,7 @@
 // allFaults are the faults that a plan draws from. Repeated entries are drawn more
 // often.
 var allFaults = []Fault{
-	KillNode, KillNode, PauseNode, PauseNode, StopNode, StopNode, StopNode, KillUpstream, LeaveUpstream, LeaveUpstream,
+	KillNode, KillNode, PauseNode, PauseNode, StopNode, StopNode, StopNode, StopHost, StopHost, KillUpstream, LeaveUpstream, LeaveUpstream,
 	DelayNode, ResetNode, SilenceToNode, SilenceNode, ForgetAll, CutZone, CutStore,
 	StoreDown, StoreForgets, StoreLoses, StoreRestored, StoreSlow, ChangeCatalog, ChangeCatalog, WithdrawKey,
 }
--- a/internal/cmds/soak/testbed.go
+++ b/internal/cmds/soak/testbed.go
@@ -162,7 +162,7 @@
 		connections.SetFault(netip.Addr{}, proxy.Fault{})
 	}
 	switch e.Fault {
-	case KillNode, PauseNode, StopNode, KillUpstream, LeaveUpstream:
+	case KillNode, PauseNode, StopHost, StopNode, KillUpstream, LeaveUpstream:
 		return b.injectProcessFault(ctx, e, host)
 	case DelayNode:
 		injectConnectionFault(p.peers, proxy.Fault{Delay: 20 * time.Millisecond})
@@ -214,7 +214,7 @@
 		}
 		time.Sleep(e.Duration)
 		return trace.Wrap(process.Signal(signalResume))
-	case StopNode, LeaveUpstream:
+	case StopHost, StopNode, LeaveUpstream:
 		// A process that has not installed its signal handler yet would end at once
 		// instead of gracefully.
 		if err := procs.AwaitListening(ctx, address); err != nil {
@@ -233,6 +233,12 @@
 	default:
 		process.Kill()
 	}
+	if e.Fault == StopHost {
+		peers := b.proxies[e.Host].peers
+		peers.SetFault(netip.Addr{}, proxy.Fault{StallFromTarget: true, StallToTarget: true})
+		defer peers.SetFault(netip.Addr{}, proxy.Fault{})
+		time.Sleep(e.Duration)
+	}
 	time.Sleep(restartDelay)
 	return trace.Wrap(process.Start())
 }
