Treat answers from before a restore as failures of the store

A node that knows of a later era drops what the store answers as of an earlier one, but counted the poll as successful and made the next one at once. It waits now as after other failures, and a stale read from before the restore no longer ends a watch. TestEarlierEra fails without the check ("error is nil").

--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -155,6 +155,9 @@
 		from = 0
 		listing, err = n.store.List(ctx, f.prefix)
 	}
+	if err == nil && listing.Era < held.Era {
+		err = errEarlierEra
+	}
 	n.logStoreState(err)
 	if err != nil {
 		return err
--- a/internal/process/node/restore_test.go
+++ b/internal/process/node/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/csv"
 	"net/netip"
 	"os"
@@ -154,6 +155,43 @@
 	})
 }
 
+// TestEarlierEra guards against a node that calls the platform's store without a pause,
+// because it drops what the store answers from before it was restored.
+func TestEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := objapi.New()
+		f := &callFleet{}
+		f.write(t, platform.NewMemoryStore(), 1)
+		platform.Restore(platform.Copy())
+		address := netip.MustParseAddrPort("127.0.0.1:1")
+		own := platform.NewMemoryStore()
+		n := newFollowingNode(t.Context(), mesh.NewNetwork(0).AddNode(address), own, &setup.Settings{Peers: address, Zone: "zone0"})
+		assert.NilError(t, n.poll(t.Context(), n.feeds[1]))
+		n.store = store.NewCounted(firstEraStore{own})
+		assert.ErrorIs(t, n.poll(t.Context(), n.feeds[1]), errEarlierEra)
+		assert.Equal(t, n.catalog.Snapshot().Position().Era, uint64(1))
+	})
+}
+
+// firstEraStore is a Store that answers watches and listings as of the first era.
+type firstEraStore struct {
+	store.Store
+}
+
+// List implements store.Store.
+func (s firstEraStore) List(ctx context.Context, prefix string, options ...store.ReadOption) (store.Listing, error) {
+	listing, err := s.Store.List(ctx, prefix, options...)
+	listing.Era = 0
+	return listing, err
+}
+
+// Watch implements store.Store.
+func (s firstEraStore) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (store.Listing, error) {
+	listing, err := s.Store.Watch(ctx, prefix, from, wait)
+	listing.Era = 0
+	return listing, err
+}
+
 // write writes a version of the catalog.
 func (f *callFleet) write(t *testing.T, operator store.Store, version uint64) {
 	t.Helper()
--- a/internal/process/node/watch.go
+++ b/internal/process/node/watch.go
@@ -27,14 +27,17 @@
 	answerTimeout = 600 * time.Millisecond
 )
 
+// errEarlierEra means that the store answered as of an era before the one that is known.
+var errEarlierEra = errors.New("the platform's store answers from before it was restored")
+
 // errMissedChange means that a long poll has missed a change.
 var errMissedChange = errors.New("the poll missed a change")
 
 // watch polls the changes of a feed since a position. It returns store.ErrGone if the
-// store is in another era, in which the position means nothing.
+// store is in a later era, in which the position means nothing.
 func (n *Node) watch(ctx context.Context, f feed, from store.Position) (store.Listing, error) {
 	listing, err := n.watchChecked(ctx, f, from)
-	if err == nil && listing.Era != from.Era {
+	if err == nil && listing.Era > from.Era {
 		return store.Listing{}, store.ErrGone
 	}
 	return listing, err
@@ -70,7 +73,7 @@
 
 // checkDuring reads a feed's objects at each checkInterval until the context ends or a
 // read fails. It returns errMissedChange if it has read a newer version of an object than
-// the feed's, or if the store is in another era than the given one.
+// the feed's, or if the store is in a later era than the given one.
 func (n *Node) checkDuring(ctx context.Context, f feed, era uint64) error {
 	for sleep(ctx, checkInterval) {
 		readCtx, cancel := context.WithTimeout(ctx, answerTimeout)
@@ -80,7 +83,7 @@
 		case ctx.Err() != nil:
 		case err != nil:
 			return trace.Wrap(err)
-		case listing.Era != era || n.hasNewer(f, listing):
+		case listing.Era > era || listing.Era == era && n.hasNewer(f, listing):
 			return errMissedChange
 		}
 	}
