Keep the rate of the upstream at the gate only

The relay had a copy of it for the status and the log, which a new start of the upstream did not reset. The gate tells when a limit begins or ends. No behaviour on requests changes.

--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -90,11 +90,20 @@
 }
 
 // SetRate sets the number of requests per second that the upstream takes; 0 means no
-// limit.
-func (g *Gate) SetRate(now time.Time, perSecond float64) {
+// limit. It reports whether a limit began or ended.
+func (g *Gate) SetRate(now time.Time, perSecond float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.queue.rate.limited()
 	g.queue.SetRate(now, perSecond)
+	return g.queue.rate.limited() != before
+}
+
+// Rate returns the number of requests per second that the upstream takes, 0 for no limit.
+func (g *Gate) Rate() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.rate.perSecond
 }
 
 // TakeRepeat reports whether a request that was admitted may be sent to the upstream once
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -66,7 +66,7 @@
 		InFlight:   load.InFlight,
 		Leaving:    n.relay.KeepAlivesDisabled(),
 		Limit:      load.Limit,
-		MaxRate:    n.relay.UpstreamMaxRate(),
+		MaxRate:    n.gate.Rate(),
 		Peers:      self.Peers,
 		Readiness:  self.Readiness.String(),
 		Refusals:   make(map[string]int64),
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -243,7 +242,9 @@
 		AllowUnframed:   lc.relay.Catalog != nil,
 	})
 	if err == nil && !info.AddressReused {
-		lc.observeMaxRate(time.Now(), info.MaxRate)
+		if now := time.Now(); lc.relay.Gate.SetRate(now, info.MaxRate) {
+			lc.logMaxRate(now, info.MaxRate)
+		}
 		if info.Leaving {
 			lc.relay.Local.MarkLeaving(lc.instance)
 		}
@@ -251,16 +252,6 @@
 	return response, info, err
 }
 
-// observeMaxRate records the number of requests per second that the local upstream takes
-// by its last response, 0 if that names none.
-func (lc *localCall) observeMaxRate(now time.Time, rate float64) {
-	lc.relay.Gate.SetRate(now, rate)
-	before := lc.relay.upstreamMaxRate.Swap(math.Float64bits(rate))
-	if (before == 0) != (rate == 0) {
-		lc.logMaxRate(now, rate)
-	}
-}
-
 // maxIdleTimeUnsafe is the maximum idle time of a connection that is reused for a
 // request that is not idempotent. If the upstream has already dropped the connection,
 // such a request cannot be sent again and fails. A new connection takes only about a
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -155,7 +154,6 @@
 	weightedRoundRobin *weightedRoundRobin
 	deniedRetries      *deniedRetries
 	tokens             *chain.Tokens
-	upstreamMaxRate    atomic.Uint64 // bits of the rate that the local upstream names, 0 for none
 }
 
 // New returns a Relay.
@@ -233,12 +231,6 @@
 	r.localRetries.SetBounds(ratio*localRetryShare, max(slack*localRetryShare/float64(max(upstreams, 1)), 1))
 }
 
-// UpstreamMaxRate returns the number of requests per second that the local upstream
-// takes by its last response, or 0 if that names none.
-func (r *Relay) UpstreamMaxRate() float64 {
-	return math.Float64frombits(r.upstreamMaxRate.Load())
-}
-
 // InFlight returns the number of requests in flight.
 func (r *Relay) InFlight() int {
 	return int(r.inFlight.Load())
