Guard the handlers of the fake mesh

go test -race found that a test fleet registers handlers on a node's fake links while nodes that run already send to it (TestStoreRestored, TestStoreCalls). The fake's map is read and written under its lock now. No code of the node is changed; its tests pass with the race detector, as do those of member, gates, claims, snaps, chain, relay, conns, links, pool, wire, platform and objs.

--- a/internal/fakes/mesh/mesh.go
+++ b/internal/fakes/mesh/mesh.go
@@ -36,7 +36,7 @@
 // Node is the endpoint of one node. It has the methods of links.Mesh for messages.
 type Node struct {
 	address  netip.AddrPort
-	handlers map[wire.Kind]Handler
+	handlers map[wire.Kind]Handler // guarded by Network.mu
 	network  *Network
 }
 
@@ -85,16 +85,18 @@
 	n.lost[[2]netip.AddrPort{b, a}] = lost
 }
 
-// Handle sets the handler of a kind of message. It must be called before messages
-// arrive.
+// Handle sets the handler of a kind of message. A message that arrives before gets an
+// error.
 func (n *Node) Handle(kind wire.Kind, handler Handler) {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
 	n.handlers[kind] = handler
 }
 
 // HandleSlow sets a handler that may block. It does the same as Handle, as each
 // handler runs in the sender's goroutine.
 func (n *Node) HandleSlow(kind wire.Kind, handler Handler) {
-	n.handlers[kind] = handler
+	n.Handle(kind, handler)
 }
 
 // Reset does nothing, as there are no connections to reset.
@@ -136,13 +138,16 @@
 		return nil, trace.Wrap(err)
 	}
 	n.network.mu.Lock()
+	var handler Handler
 	peer := n.network.nodes[to]
+	if peer != nil {
+		handler = peer.handlers[kind]
+	}
 	n.network.mu.Unlock()
-	if peer == nil {
+	switch {
+	case peer == nil:
 		return nil, trace.ConnectionProblem(nil, "no node at %v", to)
-	}
-	handler := peer.handlers[kind]
-	if handler == nil {
+	case handler == nil:
 		return nil, trace.NotFound("the kind of message is unknown")
 	}
 	return handler(n.address, data)
