Limit the requests to cold upstreams at the gate beside them

Cause: cold_per_s and cold_s of the configuration and cold_ms of the reports were decoded by nobody. Ruled out: admission alone; it adapts within seconds, and an upstream crashes in the first one.

Change: the gate has a second token bucket, of 100 ms, for the rate of a cold upstream. An upstream without any response for a second counts as cold until it reports. Requests refused for the rate go to another upstream without a retry, and calls to nodes whose load is not known lately do not wait for it.

--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -49,6 +49,10 @@
 	t.decided = make(chan bool, 1)
 	runs, refused := g.queue.Offer(now, t)
 	retryAfter := g.queue.RetryAfter()
+	cause := refuse.Overloaded
+	if g.queue.rates.limited() {
+		cause = refuse.UpstreamLimited
+	}
 	decide(refused, false)
 	g.mu.Unlock()
 	if runs {
@@ -63,7 +67,7 @@
 		if admitted {
 			return nil
 		}
-		return refuse.New(refuse.Overloaded, retryAfter, "the upstream has no room")
+		return refuse.New(cause, retryAfter, "the upstream has no room")
 	case <-ctx.Done():
 		return g.cancel(t, retryAfter)
 	}
@@ -86,7 +90,7 @@
 	defer g.mu.Unlock()
 	g.queue.limiter = limiter
 	g.queue.meanSeconds = 0
-	g.queue.rate = rate{}
+	g.queue.rates = newRates()
 }
 
 // SetRate sets the number of requests per second that the upstream takes; 0 means no
@@ -94,16 +98,38 @@
 func (g *Gate) SetRate(now time.Time, perSecond float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := g.queue.rate.limited()
+	before := g.queue.rates.named.limited()
 	g.queue.SetRate(now, perSecond)
-	return g.queue.rate.limited() != before
+	return g.queue.rates.named.limited() != before
 }
 
 // Rate returns the number of requests per second that the upstream takes, 0 for no limit.
 func (g *Gate) Rate() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.rate.perSecond
+	return g.queue.rates.named.perSecond
+}
+
+// SetCold records that the upstream becomes warm at a time, which may have passed, and
+// how many requests it takes until then.
+func (g *Gate) SetCold(now, warmAt time.Time, start ColdStart) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetCold(now, warmAt, start)
+}
+
+// ColdFor returns how long the upstream will still be cold, 0 if it is warm.
+func (g *Gate) ColdFor(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.queue.rates.cold.warmAt.Sub(now), 0)
+}
+
+// Answered records that the upstream has responded to an admitted request.
+func (g *Gate) Answered(now time.Time, t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Answered(now, t)
 }
 
 // TakeRepeat reports whether a request that was admitted may be sent to the upstream once
@@ -119,7 +145,7 @@
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	load := Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), RateLimited: g.queue.rate.limited(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
+	load := Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), RateLimited: g.queue.rates.limited(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
 	if g.queue.RateExhausted(now) {
 		load.InFlight = max(load.InFlight, load.Limit)
 	}
--- a/internal/process/gates/queue.go
+++ b/internal/process/gates/queue.go
@@ -44,6 +44,7 @@
 	Importance     int
 	Weight         float64
 
+	answered bool      // the upstream has responded
 	decided  chan bool // receives whether a waiting request is admitted
 	sequence uint64    // of its arrival
 	queuedAt time.Time
@@ -96,7 +97,7 @@
 	inFlight    int
 	limiter     Limiter
 	meanSeconds float64            // mean latency of the upstream
-	rate        rate               // of requests that start
+	rates       rates              // of requests that start
 	served      map[string]float64 // requests served divided by weight, by customer
 	virtualTime float64            // highest service of a customer when one of its requests started
 	wait        *WaitAverage
@@ -105,7 +106,7 @@
 
 // NewQueue returns an empty Queue that uses a Limiter.
 func NewQueue(limiter Limiter) *Queue {
-	return &Queue{limiter: limiter, served: make(map[string]float64), wait: NewWaitAverage()}
+	return &Queue{limiter: limiter, rates: newRates(), served: make(map[string]float64), wait: NewWaitAverage()}
 }
 
 // InFlight returns the number of requests in flight.
@@ -117,7 +118,7 @@
 // it is at most the number that are in flight at that rate.
 func (q *Queue) Limit() int {
 	limit := q.limiter.Limit()
-	if inFlight := math.Ceil(q.rate.within(q.meanLatency())); q.meanSeconds > 0 && inFlight < float64(limit) {
+	if inFlight := math.Ceil(q.rates.within(q.meanLatency())); q.meanSeconds > 0 && inFlight < float64(limit) {
 		return max(int(inFlight), 1)
 	}
 	return limit
@@ -126,28 +127,40 @@
 // SetRate sets the number of requests per second that the upstream takes; 0 means no
 // limit.
 func (q *Queue) SetRate(now time.Time, perSecond float64) {
-	q.rate.set(now, perSecond)
+	q.rates.named.set(now, perSecond)
+}
+
+// SetCold records that the upstream becomes warm at a time, which may have passed, and
+// how many requests it takes until then.
+func (q *Queue) SetCold(now, warmAt time.Time, start ColdStart) {
+	q.rates.cold.set(now, warmAt, start)
+}
+
+// Answered records that the upstream has responded to an admitted request.
+func (q *Queue) Answered(now time.Time, t *Ticket) {
+	t.answered = true
+	q.rates.cold.answered(now)
 }
 
 // TakeRepeat reports whether the request of an admitted ticket may be sent once more, and
 // counts it toward the rate.
 func (q *Queue) TakeRepeat(now time.Time) bool {
-	if !q.rate.ready(now) {
+	if !q.rates.ready(now) {
 		return false
 	}
-	q.rate.take()
+	q.rates.take()
 	return true
 }
 
 // RateExhausted reports whether the upstream names a rate that leaves no room for another
 // request now.
 func (q *Queue) RateExhausted(now time.Time) bool {
-	return q.rate.limited() && (len(q.waiting) > 0 || !q.rate.ready(now))
+	return q.rates.limited() && (len(q.waiting) > 0 || !q.rates.ready(now))
 }
 
 // mayStart reports whether a request may start now.
 func (q *Queue) mayStart(now time.Time) bool {
-	return q.inFlight < q.limiter.Limit() && q.rate.ready(now)
+	return q.inFlight < q.limiter.Limit() && q.rates.ready(now)
 }
 
 // Waiting returns the number of waiting requests.
@@ -179,7 +192,7 @@
 // startsWithinLimit reports whether a request that waits last can start within the time
 // for which it may wait, at the rate that the upstream takes. One request may always wait.
 func (q *Queue) startsWithinLimit(t *Ticket) bool {
-	return float64(len(q.waiting)) <= max(q.rate.within(t.waitLimit()), 1)
+	return float64(len(q.waiting)) <= max(q.rates.within(t.waitLimit()), 1)
 }
 
 // Finish records that a request has finished at the upstream, and returns the
@@ -188,6 +201,7 @@
 	latency := now.Sub(t.started)
 	q.limiter.Observe(now, Sample{Failed: failed, InFlight: q.inFlight, Latency: latency})
 	q.inFlight--
+	q.rates.cold.ended(q.inFlight, t.answered)
 	if !failed {
 		q.observeLatency(latency)
 	}
@@ -198,7 +212,8 @@
 // requests to run and to refuse.
 func (q *Queue) Abandon(now time.Time, _ *Ticket) (runs, refused []*Ticket) {
 	q.inFlight--
-	q.rate.giveBack()
+	q.rates.cold.ended(q.inFlight, true)
+	q.rates.giveBack()
 	return q.Next(now)
 }
 
@@ -243,8 +258,9 @@
 		clear(q.served)
 		q.virtualTime = 0
 	}
+	q.rates.cold.sent(now, q.inFlight)
 	q.inFlight++
-	q.rate.take()
+	q.rates.take()
 	t.started = now
 	q.wait.Observe(now, now.Sub(t.queuedAt))
 	q.virtualTime = max(q.servedTo(t.Customer), q.virtualTime)
--- a/internal/process/gates/rate.go
+++ b/internal/process/gates/rate.go
@@ -17,7 +17,8 @@
 // rate limits the requests that start per second by a token bucket. The zero value does
 // not limit them.
 type rate struct {
-	perSecond  float64 // 0 for no limit
+	burst      time.Duration // whose requests may start at once
+	perSecond  float64       // 0 for no limit
 	refilledAt time.Time
 	tokens     float64
 }
@@ -26,7 +27,7 @@
 // tokens, as the upstream has had requests without one until now.
 func (r *rate) set(now time.Time, perSecond float64) {
 	if perSecond <= 0 {
-		*r = rate{}
+		*r = rate{burst: r.burst}
 		return
 	}
 	if r.perSecond == 0 {
@@ -79,5 +80,5 @@
 
 // capacity returns the largest number of tokens.
 func (r *rate) capacity() float64 {
-	return max(r.within(rateBurst), 1)
+	return max(r.within(r.burst), 1)
 }
--- a/internal/process/gates/sessions_test.go
+++ b/internal/process/gates/sessions_test.go
@@ -42,8 +42,18 @@
 	case "offer": // offer NAME CUSTOMER IMPORTANCE [DEPTH [WEIGHT [DEADLINE]]]
 		s.offer(t, words[1:])
 	case "finish": // finish NAME
+		s.queue.Answered(s.Now, s.tickets[words[1]])
 		runs, refused := s.queue.Finish(s.Now, s.tickets[words[1]], false)
 		s.show(runs, refused)
+	case "lose": // lose NAME, whose request ends without a response
+		runs, refused := s.queue.Finish(s.Now, s.tickets[words[1]], true)
+		s.show(runs, refused)
+	case "cold": // cold TIME, which is how long the upstream is still cold
+		d, err := time.ParseDuration(words[1])
+		assert.NilError(t, err)
+		s.queue.SetCold(s.Now, s.Now.Add(d), ColdStart{PerSecond: 4, Time: 3 * time.Second})
+	case "starts": // starts FROM TO: the requests that start if they come all the time
+		s.starts(t, words[1], words[2])
 	case "next":
 		runs, refused := s.queue.Next(s.Now)
 		s.show(runs, refused)
@@ -58,6 +68,34 @@
 	}
 }
 
+// starts shows how many requests start in each second between two times, if one waits
+// at all times and each takes 10 ms.
+func (s *gateSession) starts(t *testing.T, from, to string) {
+	start := s.Now
+	times := make([]time.Duration, 2)
+	for i, text := range []string{from, to} {
+		d, err := time.ParseDuration(text)
+		assert.NilError(t, err)
+		times[i] = d
+	}
+	count := 0
+	for at := times[0]; at < times[1]; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		ticket := &Ticket{Customer: "load", Deadline: now.Add(time.Hour), Importance: 9, Weight: 1}
+		if runs, _ := s.queue.Offer(now, ticket); runs {
+			count++
+			s.queue.Answered(now.Add(time.Millisecond), ticket)
+			s.queue.Finish(now.Add(time.Millisecond), ticket, false)
+		} else {
+			s.queue.Cancel(ticket)
+		}
+		if (at+10*time.Millisecond)%time.Second == 0 {
+			fmt.Fprintf(&s.Out, ": %d", count)
+			count = 0
+		}
+	}
+}
+
 func (s *gateSession) offer(t *testing.T, words []string) {
 	numbers := []float64{0, 0, 1, 3600}
 	for i, word := range words[2:] {
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -62,6 +62,7 @@
 	status := &admin.Status{
 		AgeMS:      -1,
 		Allocators: n.quota.HeldShards(),
+		Cold:       n.gate.ColdFor(now),
 		Era:        position.Era,
 		InFlight:   load.InFlight,
 		Leaving:    n.relay.KeepAlivesDisabled(),
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -85,7 +85,9 @@
 	storeFailed atomic.Bool
 	table       *member.Table
 	upstream    *upstream
-	version     string
+	// upstreamCold is true if the upstream was last logged as cold.
+	upstreamCold atomic.Bool
+	version      string
 
 	catalogDecoder     snaps.CatalogDecoder
 	catalogKey         string
@@ -182,7 +184,7 @@
 	for i, f := range n.feeds {
 		holders[i] = f.holder
 	}
-	n.upstream = newUpstream(n.gate, settings.Expiry)
+	n.upstream = newUpstream(n.gate, settings.Expiry, n.coldStart)
 	n.agent = member.NewAgent(n.mesh, n.table, log, holders...)
 	n.crashes = crash.NewAgent(n.mesh, n.table, log)
 	n.quota = quota.NewClient(now, quota.Options{
@@ -252,6 +254,23 @@
 	return quota.Limit{Burst: customer.Burst, Rate: customer.Rate}, true
 }
 
+// catalogChanged takes over from the catalog what cold upstreams take.
+func (n *Node) catalogChanged() {
+	now := time.Now()
+	n.upstream.refreshCold(now)
+	n.logCold(now)
+}
+
+// coldStart returns how the upstreams of a service are after a start, by the catalog in
+// force.
+func (n *Node) coldStart(service string) gates.ColdStart {
+	if n.catalog == nil {
+		return gates.ColdStart{}
+	}
+	info := n.catalog.Snapshot().ServiceInfo(service)
+	return gates.ColdStart{PerSecond: info.ColdRate, Time: info.ColdTime}
+}
+
 // Ready reports whether the node accepts requests: it has a configuration and is not
 // leaving. With a catalog it must have the secret of the fleet, too.
 func (n *Node) Ready() bool {
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -29,19 +29,22 @@
 // instance and the time at which it was born identify one start of the upstream. The
 // only lock that is acquired while its lock is held is that of the gate.
 type upstream struct {
-	expiry time.Duration // how long an announcement is valid
-	gate   *gates.Gate
+	coldStart func(service string) gates.ColdStart
+	expiry    time.Duration // how long an announcement is valid
+	gate      *gates.Gate
 
 	mu           sync.Mutex
+	cold         time.Duration // how much longer the upstream was cold at coldAt, negative if unknown
+	coldAt       time.Time
 	current      admin.Announcement
 	deregistered map[string]time.Time // born times of instances, by ID
 	announcedAt  time.Time            // of current, zero for none and after a crash
 }
 
 // newUpstream returns an upstream that is absent. Its announcements are valid for
-// expiry.
-func newUpstream(gate *gates.Gate, expiry time.Duration) *upstream {
-	return &upstream{deregistered: make(map[string]time.Time), expiry: expiry, gate: gate}
+// expiry, and coldStart describes the upstreams of a service after a start.
+func newUpstream(gate *gates.Gate, expiry time.Duration, coldStart func(service string) gates.ColdStart) *upstream {
+	return &upstream{coldStart: coldStart, deregistered: make(map[string]time.Time), expiry: expiry, gate: gate}
 }
 
 // Upstream returns the address and the instance ID of the upstream, or false if it
@@ -67,14 +70,58 @@
 	}
 	same := u.current.Instance == a.Instance && u.current.Born.Equal(a.Born) && u.current.Address == a.Address
 	a.Draining = a.Draining || (same && u.current.Draining && a.Instance != "")
-	if !same || (u.readiness(now) == member.Absent && a.Slots == 0) || u.current.Slots != a.Slots {
+	absent := u.readiness(now) == member.Absent
+	if !same || (absent && a.Slots == 0) || u.current.Slots != a.Slots {
 		u.gate.Reset(newLimiter(a.Slots))
 	}
+	u.setCold(now, a.Service, a.Cold, !same || absent)
 	u.current = a
 	u.announcedAt = now
 	return true
 }
 
+// setCold records how much longer the upstream is cold and tells the gate. If the cold
+// time is unknown, an upstream that may have been started since the last announcement
+// counts as cold for as long as its service's upstreams are. The caller holds the lock.
+func (u *upstream) setCold(now time.Time, service string, cold time.Duration, mayBeNew bool) {
+	if cold < 0 && !mayBeNew {
+		return
+	}
+	u.cold, u.coldAt = cold, now
+	u.applyCold(now, service)
+}
+
+// applyCold tells the gate how much longer the upstream is cold. The caller holds the
+// lock.
+func (u *upstream) applyCold(now time.Time, service string) {
+	start := u.coldStart(service)
+	cold := u.cold
+	if cold < 0 || cold > start.Time {
+		cold = start.Time
+	}
+	u.gate.SetCold(now, u.coldAt.Add(cold), start)
+}
+
+// refreshCold tells the gate again how much longer the upstream is cold, because what the
+// catalog says about that may have changed.
+func (u *upstream) refreshCold(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.coldAt.IsZero() {
+		u.applyCold(now, u.current.Service)
+	}
+}
+
+// observeProbe takes over from the response to a health check how much longer the
+// upstream is cold, if it is from the instance that announced itself.
+func (u *upstream) observeProbe(now time.Time, a admin.Announcement) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if a.Instance == u.current.Instance {
+		u.setCold(now, u.current.Service, a.Cold, false)
+	}
+}
+
 // outdated reports whether an announcement is older than the current one, or is from
 // a start that has deregistered. Announcements without an instance ID never are. The
 // caller holds the lock.
@@ -164,10 +211,19 @@
 // other nodes of changes. It returns false if the announcement is outdated.
 func (n *Node) Announce(now time.Time, a admin.Announcement) bool {
 	accepted := n.upstream.announce(now, a)
+	n.logCold(now)
 	n.publishUpstream()
 	return accepted
 }
 
+// logCold logs when the upstream beside the node becomes cold or warm.
+func (n *Node) logCold(now time.Time) {
+	left := n.gate.ColdFor(now)
+	if cold := left > 0; n.upstreamCold.Swap(cold) != cold {
+		n.log.Info().Bool("Cold", cold).Dur("For", left).Msg("upstream became cold or warm")
+	}
+}
+
 // Deregister marks an instance of the upstream beside the node as draining and tells
 // the other nodes. Starts of the instance that were born after the given time are not
 // affected. A zero time means the start that the instance last announced.
@@ -216,7 +272,7 @@
 			n.log.Info().Err(err).Msg("probing the upstream failed")
 			continue
 		}
-		n.log.Info().Str("Instance", announcement.Instance).Int("Slots", announcement.Slots).Msg("upstream found by a probe")
+		n.log.Info().Str("Instance", announcement.Instance).Int("Slots", announcement.Slots).Dur("Cold", announcement.Cold).Msg("upstream found by a probe")
 		n.Announce(time.Now(), announcement)
 		return
 	}
--- a/internal/process/node/upstream_test.go
+++ b/internal/process/node/upstream_test.go
@@ -18,7 +18,7 @@
 func TestUpstream(t *testing.T) {
 	start := time.Unix(1000, 0)
 	born := func(s int) time.Time { return time.Unix(int64(900+s), 0) }
-	u := newUpstream(gates.NewGate(gates.NewGradient()), 10*time.Second)
+	u := newUpstream(gates.NewGate(gates.NewGradient()), 10*time.Second, func(string) gates.ColdStart { return gates.ColdStart{} })
 	announce := func(instance string, bornAt time.Time, sequence uint64, draining bool) func(time.Time) bool {
 		return func(now time.Time) bool {
 			return u.announce(now, admin.Announcement{
@@ -71,3 +71,55 @@
 		assert.Equal(t, readiness, c.want, c.name)
 	}
 }
+
+// TestUpstreamCold guards against requests at the rate of a warm upstream while the
+// upstream is cold, or may be: after each start, when it says so, and before the catalog
+// tells what cold upstreams take.
+func TestUpstreamCold(t *testing.T) {
+	start := time.Unix(1000, 0)
+	born := func(s int) time.Time { return time.Unix(int64(900+s), 0) }
+	catalog := gates.ColdStart{}
+	gate := gates.NewGate(gates.NewGradient())
+	u := newUpstream(gate, 10*time.Second, func(string) gates.ColdStart { return catalog })
+	announce := func(instance string, bornAt time.Time, sequence uint64, cold time.Duration) func(time.Time) {
+		return func(now time.Time) {
+			u.announce(now, admin.Announcement{
+				Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: bornAt, Cold: cold, Instance: instance, Sequence: sequence, Service: "ledger", Slots: 30,
+			})
+		}
+	}
+	probe := func(instance string, cold time.Duration) func(time.Time) {
+		return func(now time.Time) { u.observeProbe(now, admin.Announcement{Cold: cold, Instance: instance}) }
+	}
+	down := func(time.Time) { u.MarkDown() }
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		do    func(now time.Time)
+		want  time.Duration
+	}{
+		{"cold before the catalog is known", 0, announce("a", born(1), 1, 2*time.Second), 0},
+		{"catalog arrives", 500 * time.Millisecond, func(now time.Time) {
+			catalog = gates.ColdStart{PerSecond: 18, Time: 3 * time.Second}
+			u.refreshCold(now)
+		}, 1500 * time.Millisecond},
+		{"announcement that it is warm", time.Second, announce("a", born(1), 2, 0), 0},
+		{"catalog changes", 1100 * time.Millisecond, u.refreshCold, 0},
+		{"announcement that it is cold again", 2 * time.Second, announce("a", born(1), 3, time.Second), time.Second},
+		{"late announcement from before that", 2 * time.Second, announce("a", born(1), 2, 0), time.Second},
+		{"announcement that does not tell", 2500 * time.Millisecond, announce("a", born(1), 4, admin.ColdUnknown), 500 * time.Millisecond},
+		{"longer than its service's upstreams are cold", 3 * time.Second, announce("a", born(1), 5, time.Hour), 3 * time.Second},
+		{"warm early", 3500 * time.Millisecond, announce("a", born(1), 6, 0), 0},
+		{"crash", 4 * time.Second, down, 0},
+		{"return without telling whether it is cold", 5 * time.Second, announce("b", born(5), 1, admin.ColdUnknown), 3 * time.Second},
+		{"health check of an earlier instance", 6 * time.Second, probe("a", 0), 2 * time.Second},
+		{"health check that does not tell", 6 * time.Second, probe("b", admin.ColdUnknown), 2 * time.Second},
+		{"health check", 6 * time.Second, probe("b", time.Second), time.Second},
+		{"warm", 8 * time.Second, announce("b", born(5), 2, 0), 0},
+		{"new start under the same ID that does not tell", 9 * time.Second, announce("b", born(9), 1, admin.ColdUnknown), 3 * time.Second},
+	} {
+		now := start.Add(c.after)
+		c.do(now)
+		assert.Equal(t, gate.ColdFor(now), c.want, c.name)
+	}
+}
--- a/internal/request/relay/balance.go
+++ b/internal/request/relay/balance.go
@@ -147,13 +147,13 @@
 	return s.failureRate, true
 }
 
-// RateLimited reports whether a node's upstream named a rate when the node last reported
-// its load.
-func (b *Balancer) RateLimited(node netip.AddrPort) bool {
+// MayBeRateLimited reports whether the rate of requests to a node's upstream was limited
+// when the node last reported its load, or whether it has not reported any lately.
+func (b *Balancer) MayBeRateLimited(now time.Time, node netip.AddrPort) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.nodes[node]
-	return s != nil && s.load.RateLimited
+	return s == nil || now.Sub(s.loadAt) >= maxLoadAge || s.load.RateLimited
 }
 
 // Eject excludes a node from the choice for a time that doubles with each ejection.
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -242,6 +242,7 @@
 		AllowUnframed:   lc.relay.Catalog != nil,
 	})
 	if err == nil && !info.AddressReused {
+		lc.relay.Gate.Answered(time.Now(), lc.ticket)
 		if now := time.Now(); lc.relay.Gate.SetRate(now, info.MaxRate) {
 			lc.logMaxRate(now, info.MaxRate)
 		}
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -154,7 +154,7 @@
 			break
 		}
 		var pending *pendingResponse
-		alternative := len(tried)+1 < min(len(nodes), maxSends) && s.relay.balancer.RateLimited(node)
+		alternative := len(tried)+1 < min(len(nodes), maxSends) && s.relay.balancer.MayBeRateLimited(now, node)
 		if pending, refusal = s.send(now, node, alternative); refusal == nil {
 			return pending, nil
 		}
--- a/internal/version/snaps/catalog.go
+++ b/internal/version/snaps/catalog.go
@@ -87,15 +87,21 @@
 // HealthPath returns the path of the health check of a service's upstreams, or
 // an empty string if the catalog has no such service or no path for it.
 func (s *Snapshot) HealthPath(service string) string {
+	return s.ServiceInfo(service).HealthPath
+}
+
+// ServiceInfo returns what the catalog says about a service, or a zero ServiceInfo if it
+// has no such service.
+func (s *Snapshot) ServiceInfo(service string) rows.ServiceInfo {
 	if s.catalog == nil {
-		return ""
+		return rows.ServiceInfo{}
 	}
 	for _, info := range s.catalog.services {
 		if info.Name == service {
-			return info.HealthPath
+			return info
 		}
 	}
-	return ""
+	return rows.ServiceInfo{}
 }
 
 // Limits returns the limits of the catalog in force, or zero limits if there is
--- a/internal/version/snaps/holder.go
+++ b/internal/version/snaps/holder.go
@@ -43,6 +43,7 @@
 // those of the earlier era, except where the value held is newer by the order of its own
 // kind: that stays in force until the store has one that is as new again.
 type Holder struct {
+	onChanged  func() // nil for none
 	onRestored func() // nil for none
 	snapshot   atomic.Pointer[Snapshot]
 
@@ -70,6 +71,11 @@
 	return func(h *Holder) { h.onRestored = f }
 }
 
+// WithChanged makes the Holder call a function after each change of its position.
+func WithChanged(f func()) Option {
+	return func(h *Holder) { h.onChanged = f }
+}
+
 // Snapshot returns the snapshot in force.
 func (h *Holder) Snapshot() *Snapshot {
 	return h.snapshot.Load()
@@ -90,6 +96,9 @@
 	if restored && h.onRestored != nil {
 		h.onRestored()
 	}
+	if h.onChanged != nil {
+		h.onChanged()
+	}
 	return true
 }
 
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -25,6 +25,10 @@
 	PathStatus = "/status"
 )
 
+// ColdUnknown is the value of Announcement.Cold if it is unknown whether the upstream is
+// cold.
+const ColdUnknown time.Duration = -1
+
 // Announcement is the message by which an upstream announces itself to the node on its
 // host. The upstream must repeat it; if none arrives for the time set in the node's
 // settings, the node treats the upstream as absent.
@@ -34,6 +38,9 @@
 	// Born is when the upstream started, zero for unknown. The node ignores
 	// announcements of an earlier start.
 	Born time.Time
+	// Cold is how much longer the upstream is cold and takes only the requests that the
+	// catalog states for that, 0 for a warm upstream and ColdUnknown if unknown.
+	Cold time.Duration `json:",omitempty"`
 	// Draining is set if the upstream accepts no new requests.
 	Draining bool
 	// Instance identifies this start of the upstream, empty for unknown. Without it the
@@ -81,6 +88,8 @@
 	Allocators []int
 	// Catalog is the version of the catalog in force, 0 for none.
 	Catalog uint64 `json:",omitempty"`
+	// Cold is how much longer the upstream is taken to be cold, 0 if it is warm.
+	Cold time.Duration `json:",omitempty"`
 	// Era is the era of the platform's store to which Revision belongs.
 	Era      uint64 `json:",omitempty"`
 	InFlight int
--- a/pkg/rows/catalog.go
+++ b/pkg/rows/catalog.go
@@ -1,6 +1,7 @@
 package rows
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -10,6 +11,9 @@
 // MaxAttempts is the maximum of Route.Attempts.
 const MaxAttempts = 16
 
+// MaxColdTime is the maximum of ServiceInfo.ColdTime.
+const MaxColdTime = time.Hour
+
 // Catalog is a whole configuration of routes and customers. It takes the place of a
 // table with a row for each pair of a route and a customer. Because it lists the two
 // separately, its size is their sum and not their product.
@@ -33,6 +37,11 @@
 			return trace.BadParameter("Routes: %q: %v", c.Routes[i].Name, err)
 		}
 	}
+	for i := range c.Services {
+		if err := c.Services[i].Check(); err != nil {
+			return trace.BadParameter("Services: %q: %v", c.Services[i].Name, err)
+		}
+	}
 	customerByKey := make(map[string]string)
 	for i := range c.Customers {
 		customer := &c.Customers[i]
@@ -61,11 +70,24 @@
 
 // ServiceInfo describes the upstreams of a service.
 type ServiceInfo struct {
+	// ColdRate is the number of requests per second that an upstream takes while it is
+	// cold, 0 if it takes as many as when it is warm.
+	ColdRate float64
+	// ColdTime is how long an upstream is cold after its start.
+	ColdTime time.Duration
 	// HealthPath is the path of an upstream's health check, empty for none.
 	HealthPath string
 	Name       string
 }
 
+// Check returns an error that names the first field with an invalid value.
+func (s *ServiceInfo) Check() error {
+	if !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 1) || s.ColdTime < 0 || s.ColdTime > MaxColdTime {
+		return trace.BadParameter("ColdRate and ColdTime: want 0 or more, and at most %v", MaxColdTime)
+	}
+	return nil
+}
+
 // Route configures how requests with a given Host header and path prefix are handled.
 type Route struct {
 	// Attempts is the maximum number of upstreams that one request is sent to.
