Lower the calls to the store at the first start of a fleet

Cause: a watcher announced a feed to its zone only if it had objects. The feed of evacuations has none at first, so the others heard of it by a ping within a second, or read it themselves.

Change: a feed that was not known at all is announced too.

--- a/internal/process/node/evacuate_test.go
+++ b/internal/process/node/evacuate_test.go
@@ -129,6 +129,7 @@
 		f.checkEvacuated(t, "begun", []string{"zone0"})
 		n := f.nodes[0]
 		n.store = store.NewCounted(listedStore{f.stores[0]})
+		time.Sleep(2 * evacuationsPollWait)
 		assert.NilError(t, operator.Delete(t.Context(), evacuationsPrefix+"zone0", version))
 		time.Sleep(2 * evacuationsPollWait)
 		f.checkEvacuated(t, "ended", nil)
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -87,6 +87,8 @@
 		workers.Go(func() {
 			if n.settings.Load().FirstStart {
 				sleep(ctx, f.firstStartDelay)
+				n.follow(ctx, start.Add(f.firstStartDelay), f)
+				return
 			}
 			n.follow(ctx, start, f)
 		})
@@ -150,7 +152,8 @@
 // poll calls the platform's store once and applies what it returns: the changes since
 // the feed's revision, for which the call waits up to the feed's wait, or all objects if there
 // is no revision yet, the store no longer knows the changes since it or the store was
-// restored from an older copy. If objects changed, it announces them to other nodes.
+// restored from an older copy. If objects changed, or if the feed was not known at all, it
+// announces that to other nodes.
 func (n *Node) poll(ctx context.Context, f feed) error {
 	held := f.holder.Snapshot().Position()
 	from := held.Revision
@@ -162,7 +165,7 @@
 	}
 	if from == 0 || errors.Is(err, store.ErrGone) {
 		from = 0
-		listing, err = n.store.List(ctx, f.prefix)
+		listing, err = n.list(ctx, f, held)
 	}
 	if err == nil && listing.Era < held.Era {
 		err = errEarlierEra
@@ -172,7 +175,7 @@
 		return err
 	}
 	delta := snaps.Delta{Era: listing.Era, From: from, Objects: listing.Objects, Revision: listing.Revision}
-	if f.holder.Apply(delta) && len(listing.Objects) > 0 {
+	if f.holder.Apply(delta) && (len(listing.Objects) > 0 || held.Revision == 0) {
 		if held.Revision > 0 && listing.Era != held.Era {
 			n.log.Warn().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("HeldRevision", held.Revision).Int("Retained", f.holder.Retained()).
 				Msg("the platform's store was restored from an older copy")
@@ -185,6 +188,17 @@
 	return nil
 }
 
+// list reads all objects of a feed. The first read at the first start of the whole fleet
+// may be stale, as the poll that follows it returns the changes since.
+func (n *Node) list(ctx context.Context, f feed, held store.Position) (store.Listing, error) {
+	if held.Revision == 0 && n.settings.Load().FirstStart {
+		if listing, err := n.store.List(ctx, f.prefix, store.WithStale()); err == nil && listing.Revision > 0 {
+			return listing, nil
+		}
+	}
+	return n.store.List(ctx, f.prefix)
+}
+
 // logStoreState takes the result of a call to the platform's store, and logs when
 // calls begin to fail and when they succeed again.
 func (n *Node) logStoreState(err error) {
--- a/internal/process/node/zones.go
+++ b/internal/process/node/zones.go
@@ -15,7 +15,7 @@
 
 // evacuationsDelay is how long a node waits at the first start of the whole fleet before
 // it reads which availability zones are evacuated.
-const evacuationsDelay = 500 * time.Millisecond
+const evacuationsDelay = time.Second
 
 // evacuations are the availability zones that the node knows to be evacuated. No other
 // lock is acquired while mu is held.
