Serve restricted requests only in the regions that they allow

Cause: allowed_regions of routes and tenants was not read.

Change: the entry leaves out zones whose region the route or the customer does not allow. The regions of the zones are a new setting. A request that no allowed zone can serve is refused as not run, and the refusal names the regions. Ruled out: a check at the gate as well; the entry is the only hop before it, and knows route and customer.

TestCandidates was written after the code; with the test of the region taken out of the filter its cases with regions fail.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -239,6 +239,7 @@
 		Local:     n.upstream,
 		Log:       n.requestLog,
 		Pool:      n.pool,
+		Regions:   settings.Regions,
 		Secret:    settings.Secret,
 		Self:      settings.Peers,
 		Service:   settings.Service,
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -59,6 +59,9 @@
 	// Shards is the number of shards into which each zone divides the customers' rates
 	// and the claims of idempotency keys. It must be the same on all nodes.
 	Shards int
+	// Regions are the regions of the availability zones. Zones that are not in it are in no
+	// known region.
+	Regions map[string]string
 	// Zones are the names of all availability zones, sorted. They must be the same on
 	// all nodes.
 	Zones []string
@@ -152,6 +155,7 @@
 		Platform:    r.url("Platform", "URL"),
 		Procs:       r.number("Limits", "Procs", 2, 1, 256),
 		Ready:       r.optionalAddress("Listen", "Ready"),
+		Regions:     r.pairs("Fleet", "Regions"),
 		RetryRatio:  r.nonNegative("Limits", "RetryRatio", 0.1),
 		RetrySlack:  r.nonNegative("Limits", "RetrySlack", 0),
 		Secret:      r.secret("Fleet", "Secret"),
@@ -168,6 +172,11 @@
 	if r.err == nil && !slices.Contains(s.Zones, s.Zone) {
 		r.fail("Node", "Zone", s.Zone, "one of the Zones in [Fleet]")
 	}
+	for zone := range s.Regions {
+		if r.err == nil && !slices.Contains(s.Zones, zone) {
+			r.fail("Fleet", "Regions", zone, "only the Zones in [Fleet]")
+		}
+	}
 	if r.err == nil && s.Dialect == DialectNative && !s.Secret.Known() {
 		r.fail("Fleet", "Secret", "", "a value, but it is missing")
 	}
@@ -317,6 +326,24 @@
 	return all
 }
 
+// pairs returns a list of names, each with a value after a colon. It records an error if a
+// name or value is missing, or if a name occurs twice.
+func (r *reader) pairs(section, key string) map[string]string {
+	var all map[string]string
+	for _, pair := range splitList(r.text(section, key, false)) {
+		name, value, ok := strings.Cut(pair, ":")
+		if _, twice := all[name]; !ok || name == "" || value == "" || twice {
+			r.fail(section, key, pair, "names and values, as in zone:region, each name once")
+			continue
+		}
+		if all == nil {
+			all = make(map[string]string)
+		}
+		all[name] = value
+	}
+	return all
+}
+
 func (r *reader) number(section, key string, defaultValue, smallest, largest int) int {
 	value := r.text(section, key, false)
 	if value == "" {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -26,8 +26,9 @@
 	fingerprint uint64    // of a sub-call
 	id          string    // request ID in the caller's logs
 	idempotent  bool
-	maxBody     int64  // bytes; 0 for no limit
-	release     func() // releases the claim of the idempotency key; nil without one
+	maxBody     int64    // bytes; 0 for no limit
+	regions     []string // in which the request may be served; nil for all
+	release     func()   // releases the claim of the idempotency key; nil without one
 }
 
 // rootCall returns the call of an admitted request of a caller.
@@ -50,6 +51,7 @@
 		deadline:   now.Add(timeout),
 		idempotent: p.idempotent,
 		maxBody:    p.maxBody,
+		regions:    p.regions,
 	}
 	if p.subCall {
 		c.chain.Depth = 1
--- a/internal/request/relay/evacuate_test.go
+++ b/internal/request/relay/candidates_test.go
@@ -13,12 +13,14 @@
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
+	"github.com/wasabibend/wasabibend/pkg/refuse"
 )
 
 // TestCandidates runs the cases of testdata/candidates.csv: the zones of nodes whose
-// upstreams serve a service, and those that are evacuated. It guards against calls to
-// upstreams in evacuated zones, and against a refusal that does not tell why there are no
-// others.
+// upstreams serve a service, those that are evacuated, and the regions in which the route
+// and the customer allow requests. Zone z is in no known region. It guards against calls to
+// upstreams in evacuated zones or other regions, and against a refusal that does not tell
+// why there are no others.
 func TestCandidates(t *testing.T) {
 	in, err := os.Open("testdata/candidates.csv")
 	assert.NilError(t, err)
@@ -40,14 +42,19 @@
 				delta.Objects = append(delta.Objects, store.Object{Key: "evacuations/" + zone, Value: []byte("{}"), Version: uint64(i + 1)})
 			}
 			zones.Apply(delta)
-			r := &Relay{Options: Options{Table: table, Zones: zones}}
-			nodes, evacuated := r.candidates("ledger")
+			r := &Relay{Options: Options{Regions: map[string]string{"a": "north", "b": "north", "c": "south"}, Table: table, Zones: zones}}
+			nodes, refusal := r.candidates("ledger", intersectRegions(strings.Fields(record[3]), strings.Fields(record[4])))
 			var got []string
 			for _, n := range nodes {
 				got = append(got, n.Zone)
 			}
-			assert.Equal(t, strings.Join(got, " "), record[3])
-			assert.Equal(t, evacuated, record[4] == "true")
+			assert.Equal(t, strings.Join(got, " "), record[5])
+			if record[6] == "" {
+				assert.Check(t, refusal == nil)
+				return
+			}
+			assert.Equal(t, refusal.Ran, refuse.NotRun)
+			assert.Equal(t, string(refusal.Cause)+": "+refusal.Detail, record[6])
 		})
 	}
 }
--- a/internal/request/relay/policy.go
+++ b/internal/request/relay/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,7 @@
 	maxBody     int64         // bytes; 0 for no limit
 	objective   time.Duration // for the response time; 0 for none and for rows of the table
 	rateKey     quota.Key
+	regions     []string // in which the request may be served; nil for all
 	retries     int
 	route       string
 	service     string
@@ -122,6 +124,7 @@
 		importance:  route.Importance,
 		maxBody:     snapshot.Limits().BodyBytes,
 		objective:   route.Objective,
+		regions:     route.Regions,
 		retries:     route.Attempts - 1,
 		route:       route.Name,
 		service:     r.weightedRoundRobin.next(route),
@@ -146,6 +149,7 @@
 		return policy{}, refuse.New(refuse.KeyRejected, 0, "the key is unknown or withdrawn")
 	}
 	p.customer = customer.Name
+	p.regions = intersectRegions(p.regions, customer.Regions)
 	if customer.Ranked {
 		p.importance = customer.Importance
 	}
@@ -156,6 +160,26 @@
 	return p, nil
 }
 
+// intersectRegions returns the regions that are in both lists, each of which may be empty
+// for all regions. It returns nil for all regions, and an empty slice for none.
+func intersectRegions(a, b []string) []string {
+	switch {
+	case len(a) == 0 && len(b) == 0:
+		return nil
+	case len(a) == 0:
+		return b
+	case len(b) == 0:
+		return a
+	}
+	both := []string{}
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
+
 // rawPath returns the path of a request as it was sent, without unescaping.
 func rawPath(req *http.Request) string {
 	path, _, _ := strings.Cut(req.RequestURI, "?")
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -121,9 +121,11 @@
 	InFlight int
 	Local    LocalUpstream
 	// Log records decisions on requests; nil disables it.
-	Log    *RequestLog
-	Pool   *pool.Pool
-	Secret *fleet.Secret
+	Log  *RequestLog
+	Pool *pool.Pool
+	// Regions are the regions of the availability zones.
+	Regions map[string]string
+	Secret  *fleet.Secret
 	// Self is the address of the node's listener for peers.
 	Self netip.AddrPort
 	// Service is the service of the local upstream, empty if it is not
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -144,14 +145,16 @@
 	var tried []netip.AddrPort
 	reached := 0
 	ran := refuse.NotRun
-	evacuated := false
 	for range maxSends {
 		now := time.Now()
 		if !now.Before(s.deadline) || s.ctx.Err() != nil || reached >= s.call.maxAttempts {
 			break
 		}
-		var nodes []member.Record
-		nodes, evacuated = s.relay.candidates(s.chain.Service)
+		nodes, none := s.relay.candidates(s.chain.Service, s.regions)
+		if none != nil {
+			last = moreSpecific(last, none)
+			break
+		}
 		node, ok := s.relay.balancer.Choose(now, nodes, tried)
 		if !ok || (refusal != nil && !s.mayTryNextNode(refusal)) {
 			break
@@ -171,32 +174,53 @@
 			s.reachedUpstream = true
 		}
 	}
-	switch {
-	case last == nil && evacuated:
-		last = refuse.New(refuse.Evacuated, defaultRetryAfter, "all availability zones with upstreams of the service are evacuated")
-	case last == nil:
-		last = refuse.New(refuse.NoUpstream, defaultRetryAfter, "no upstream takes requests of the service")
+	if last == nil {
+		last = errNoUpstream()
 	}
 	last.Ran = ran
 	return nil, last
 }
 
 // candidates returns the nodes whose upstreams may serve a service: those that accept
-// requests and are not in an evacuated availability zone. The result is evacuated if that
-// leaves none.
-func (r *Relay) candidates(service string) (nodes []member.Record, evacuated bool) {
-	nodes = r.Table.View().Service(service)
-	if r.Zones == nil || !r.Zones.Snapshot().AnyEvacuated() {
-		return nodes, false
-	}
-	zones := r.Zones.Snapshot()
-	var left []member.Record
+// requests, are not in an evacuated availability zone and are in one of the given regions,
+// of which nil stands for all. If there are none, it returns the refusal.
+func (r *Relay) candidates(service string, regions []string) ([]member.Record, *refuse.Refusal) {
+	nodes := r.Table.View().Service(service)
+	evacuated := r.Zones != nil && r.Zones.Snapshot().AnyEvacuated()
+	switch {
+	case evacuated || regions != nil:
+		nodes = r.filter(nodes, regions)
+	case len(nodes) > 0:
+		return nodes, nil
+	}
+	switch {
+	case len(nodes) > 0:
+		return nodes, nil
+	case regions != nil:
+		return nil, refuse.New(refuse.NoUpstream, defaultRetryAfter, "no upstream takes requests of the service in the allowed regions %v", regions)
+	case evacuated:
+		return nil, refuse.New(refuse.Evacuated, defaultRetryAfter, "all availability zones with upstreams of the service are evacuated")
+	}
+	return nil, errNoUpstream()
+}
+
+// errNoUpstream returns the refusal of a request for whose service no node has an upstream.
+func errNoUpstream() *refuse.Refusal {
+	return refuse.New(refuse.NoUpstream, defaultRetryAfter, "no upstream takes requests of the service")
+}
+
+// filter returns the nodes that are not in an evacuated availability zone and are in one
+// of the given regions, of which nil stands for all.
+func (r *Relay) filter(nodes []member.Record, regions []string) []member.Record {
+	var kept []member.Record
 	for i := range nodes {
-		if !zones.Evacuated(nodes[i].Zone) {
-			left = append(left, nodes[i])
+		zone := nodes[i].Zone
+		if r.Zones != nil && r.Zones.Snapshot().Evacuated(zone) || regions != nil && !slices.Contains(regions, r.Regions[zone]) {
+			continue
 		}
+		kept = append(kept, nodes[i])
 	}
-	return left, len(left) == 0
+	return kept
 }
 
 // saysUnavailable reports whether a refusal only says that a node sends no requests to its
--- a/pkg/rows/catalog.go
+++ b/pkg/rows/catalog.go
@@ -107,6 +107,8 @@
 	Open bool
 	// Prefix is the prefix of the requests' paths. It begins and ends with a slash.
 	Prefix string
+	// Regions are the regions in which requests may be served, empty for all.
+	Regions []string
 	// Shares divide the requests among services, in proportion to the weights.
 	Shares []Share
 	// Timeout limits the time until the whole response has been sent.
@@ -165,6 +167,9 @@
 	// Rate is the customer's rate limit in requests per second, over all hosts together,
 	// 0 for no limit.
 	Rate float64
+	// Regions are the regions in which the customer's requests may be served, empty for
+	// all. Those of the route restrict them further.
+	Regions []string
 }
 
 // Check returns an error that names the first field with an invalid value.
