Keep an unexpected error from ending the node or a part of it

What operators of similar systems saw: one malformed message or unexpected error took a process down. It could happen here, in three forms:

- The write of claims ran in a timer's goroutine.
A panic there ended the process (TestClaimWithUnexpectedError: 'panic: unexpected').
- Loops of the node ran in a wait group that keeps a panic until the end.
The loop was dead and the node went on without it, such as without pings, without changes of the configuration or without leases, and ended with the panic when it was stopped.
- A panic in the handler of a message closed the link, and was lost for links that others opened, with the count of accepted links one too high for good (TestMeshHandlerPanics: the peer got no answer).
Panics in HTTP handlers were not logged.

Handlers of messages answer with an error. Ruled out: ending the process on purpose; requests in flight would be cut, and the same message would end the next process too.

Not covered: the timers of interim responses and of callers' connections, which only write one line or poll one socket.

--- a/internal/conn/links/link.go
+++ b/internal/conn/links/link.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 )
 
 // link is a WebSocket connection to another node, the peer. The node that opened
@@ -153,10 +154,13 @@
 	if handler == nil {
 		reply.Failure = "the kind of message is unknown, or there are too many"
 	} else {
-		answer, err := handler(l.peer, frame.Body)
-		if err == nil && frame.ID != 0 {
-			reply.Body, err = wire.Encode(answer)
-		}
+		err := guard.Call(l.mesh.log, "handler of a message", func() error {
+			answer, err := handler(l.peer, frame.Body)
+			if err == nil && frame.ID != 0 {
+				reply.Body, err = wire.Encode(answer)
+			}
+			return err
+		})
 		if err != nil {
 			reply.Failure = err.Error()
 		}
--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -14,6 +14,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
@@ -62,6 +63,7 @@
 	ctx          context.Context
 	client       *http.Client
 	handlers     map[wire.Kind]Handler
+	log          zerolog.Logger
 	secret       *fleet.Secret
 	self         netip.AddrPort
 	slowHandlers map[wire.Kind]Handler
@@ -84,6 +86,11 @@
 	}
 }
 
+// WithLog sets where unexpected errors are logged.
+func WithLog(log zerolog.Logger) Option {
+	return func(m *Mesh) { m.log = log }
+}
+
 // WithSource sets the local address of the mesh's connections. An invalid address
 // has no effect.
 func WithSource(source netip.Addr) Option {
@@ -102,6 +109,7 @@
 		client:       &http.Client{Transport: &http.Transport{}},
 		handlers:     make(map[wire.Kind]Handler),
 		links:        make(map[netip.AddrPort]*link),
+		log:          zerolog.Nop(),
 		secret:       secret,
 		self:         self,
 		slowSlots:    make(chan struct{}, maxSlowRequests),
@@ -207,12 +215,12 @@
 	if err != nil {
 		return
 	}
+	defer m.countAccepted(-1)
 	if m.countAccepted(1) {
 		newLink(m, from, conn).read()
 	} else {
 		_ = conn.CloseNow()
 	}
-	m.countAccepted(-1)
 }
 
 // countAccepted adds to the number of accepted links and reports whether it is at
--- a/internal/conn/links/mesh_test.go
+++ b/internal/conn/links/mesh_test.go
@@ -133,3 +133,22 @@
 		}
 	}
 }
+
+// TestMeshHandlerPanics guards against an unexpected error in the handler of one message
+// that takes down the link, the count of accepted links or the process.
+func TestMeshHandlerPanics(t *testing.T) {
+	m, address := newTestMesh(t, "the secret of the test")
+	fail := func(netip.AddrPort, []byte) (any, error) { panic("unexpected") }
+	m.Handle(wire.KindNews, fail)
+	m.HandleSlow(wire.KindClaim, fail)
+	caller, _ := newTestMesh(t, "the secret of the test")
+	var answer echo
+	for _, kind := range []wire.Kind{wire.KindNews, wire.KindClaim} {
+		err := caller.Call(t.Context(), address, kind, echo{Text: "x"}, &answer)
+		assert.ErrorContains(t, err, "unexpected error")
+	}
+	link := caller.lookup(address)
+	assert.NilError(t, caller.Call(t.Context(), address, wire.KindPing, echo{Text: "x"}, &answer))
+	assert.Check(t, link != nil && caller.lookup(address) == link, "the link was closed")
+	assert.Equal(t, m.Links(), 1)
+}
--- a/internal/process/claims/client.go
+++ b/internal/process/claims/client.go
@@ -8,9 +8,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 	"github.com/wasabibend/wasabibend/pkg/refuse"
@@ -44,6 +46,7 @@
 	// LeaseState returns how the node holds a shard of its availability zone, or
 	// false if it does not.
 	LeaseState func(shard int, now time.Time) (LeaseState, bool)
+	Log        zerolog.Logger
 	Store      store.Store
 	// Zone is the availability zone of the node, and Zones are those of the fleet.
 	Zone  string
@@ -61,7 +64,7 @@
 func NewClient(options Options) *Client {
 	c := &Client{Options: options}
 	for shard := range options.Shards {
-		c.byShard = append(c.byShard, NewShardClaims(options.Store, options.Zone, shard, func(now time.Time) (LeaseState, bool) { return options.LeaseState(shard, now) }))
+		c.byShard = append(c.byShard, NewShardClaims(options.Store, options.Zone, shard, options.Log, func(now time.Time) (LeaseState, bool) { return options.LeaseState(shard, now) }))
 	}
 	c.Mesh.HandleSlow(wire.KindClaim, c.handle)
 	return c
@@ -163,7 +166,7 @@
 	c.workers.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		_, _ = c.send(ctx, &released)
+		guard.Run(c.Log, "release of a claim", func() { _, _ = c.send(ctx, &released) })
 	})
 }
 
--- a/internal/process/claims/shard.go
+++ b/internal/process/claims/shard.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 
 	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
@@ -52,6 +54,7 @@
 type ShardClaims struct {
 	prefix     string // of the keys of its objects in the store
 	leaseState func(now time.Time) (LeaseState, bool)
+	log        zerolog.Logger
 	store      store.Store
 
 	mu    sync.Mutex
@@ -93,8 +96,8 @@
 }
 
 // NewShardClaims returns the ShardClaims of a shard of an availability zone.
-func NewShardClaims(s store.Store, zone string, shard int, leaseState func(now time.Time) (LeaseState, bool)) *ShardClaims {
-	return &ShardClaims{prefix: fmt.Sprintf("%s%s.%d/", kinds.PrefixClaims, zone, shard), leaseState: leaseState, store: s}
+func NewShardClaims(s store.Store, zone string, shard int, log zerolog.Logger, leaseState func(now time.Time) (LeaseState, bool)) *ShardClaims {
+	return &ShardClaims{prefix: fmt.Sprintf("%s%s.%d/", kinds.PrefixClaims, zone, shard), leaseState: leaseState, log: log, store: s}
 }
 
 // Claim claims a key for an attempt. It returns false if another attempt has
@@ -158,8 +161,7 @@
 			if lease, ok := s.leaseState(time.Now()); !ok || lease.Term != term {
 				return
 			}
-			b := &batch{done: make(chan struct{}), ids: ids}
-			if s.write(b); b.err == nil {
+			if err := s.write(&batch{ids: ids}); err == nil {
 				break
 			}
 			if pause.For(ctx, rewriteInterval) != nil {
@@ -207,7 +209,10 @@
 	if b == nil {
 		b = &batch{done: make(chan struct{})}
 		s.batch = b
-		time.AfterFunc(batchDelay, func() { s.write(b) })
+		time.AfterFunc(batchDelay, func() {
+			defer close(b.done)
+			b.err = guard.Call(s.log, "claims", func() error { return s.write(b) })
+		})
 	}
 	b.ids = append(append(b.ids, id), s.unsaved...)
 	s.unsaved = nil
@@ -230,31 +235,29 @@
 }
 
 // write writes a batch to the store, and then deletes expired objects.
-func (s *ShardClaims) write(b *batch) {
+func (s *ShardClaims) write(b *batch) error {
 	s.mu.Lock()
 	if s.batch == b {
 		s.batch = nil
 	}
 	s.mu.Unlock()
-	defer close(b.done)
 	now := time.Now()
 	value, err := json.Marshal(batchObject{At: now, IDs: b.ids})
 	if err != nil {
-		b.err = trace.Wrap(err)
-		return
+		return trace.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	key := fmt.Sprintf("%s%x-%x", s.prefix, now.UnixNano(), b.ids[0][:4])
 	version, err := s.store.Put(ctx, key, value, 0)
 	if err != nil {
-		b.err = trace.Wrap(err)
-		return
+		return trace.Wrap(err)
 	}
 	s.mu.Lock()
 	s.saved = append(s.saved, savedBatch{at: now, key: key, version: version})
 	s.mu.Unlock()
 	s.deleteExpired(ctx, now)
+	return nil
 }
 
 // deleteExpired deletes up to two of the oldest objects if their claims have
--- a/internal/process/claims/shard_test.go
+++ b/internal/process/claims/shard_test.go
@@ -1,13 +1,16 @@
 package claims
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
+	"github.com/wasabibend/wasabibend/internal/process/store"
 )
 
 // TestRewrite guards against a request that runs twice after the platform's store was
@@ -26,7 +29,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				platform := objapi.New()
 				newShard := func(term uint64) *ShardClaims {
-					return NewShardClaims(platform.NewMemoryStore(), "zone0", 0, func(time.Time) (LeaseState, bool) { return LeaseState{Term: term}, true })
+					return NewShardClaims(platform.NewMemoryStore(), "zone0", 0, zerolog.Nop(), func(time.Time) (LeaseState, bool) { return LeaseState{Term: term}, true })
 				}
 				holder := newShard(1)
 				backup := platform.Copy()
@@ -52,3 +55,24 @@
 		})
 	}
 }
+
+// panickingStore is a Store whose writes end with an unexpected error.
+type panickingStore struct {
+	store.Store
+}
+
+// Put implements store.Store.
+func (panickingStore) Put(context.Context, string, []byte, uint64) (uint64, error) {
+	panic("unexpected")
+}
+
+// TestClaimWithUnexpectedError guards against a claim that counts as written, or a process
+// that ends, after an unexpected error in the goroutine that writes it.
+func TestClaimWithUnexpectedError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewShardClaims(panickingStore{objapi.New().NewMemoryStore()}, "zone0", 0, zerolog.Nop(), func(time.Time) (LeaseState, bool) { return LeaseState{Term: 1}, true })
+		granted, err := s.Claim(t.Context(), ID{1}, 7)
+		assert.Check(t, !granted)
+		assert.ErrorContains(t, err, "unexpected error")
+	})
+}
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
 	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 )
@@ -102,9 +103,9 @@
 // the context ends.
 func (a *Agent) Run(ctx context.Context) {
 	var workers conc.WaitGroup
-	workers.Go(func() { a.pingLoop(ctx) })
-	workers.Go(func() { a.pendingLoop(ctx) })
-	workers.Go(func() { a.lagLoop(ctx) })
+	for name, loop := range map[string]func(context.Context){"lag of feeds": a.lagLoop, "news": a.pendingLoop, "pings": a.pingLoop} {
+		workers.Go(func() { guard.Loop(ctx, a.log, name, loop) })
+	}
 	workers.Wait()
 }
 
--- a/internal/process/node/adopt.go
+++ b/internal/process/node/adopt.go
@@ -143,7 +143,7 @@
 	}
 	n.log.Info().Stringer("From", received.From).Msg("got the secret from another node, as the platform does not answer")
 	w.WriteHeader(http.StatusNoContent)
-	n.background.Go(func() {
+	n.spawn("join", func() {
 		ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
 		defer cancel()
 		if err := n.agent.Join(ctx, received.From); err != nil {
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 )
@@ -85,12 +86,12 @@
 	var workers conc.WaitGroup
 	for _, f := range n.feeds {
 		workers.Go(func() {
+			start := start
 			if n.settings.Load().FirstStart {
 				sleep(ctx, f.firstStartDelay)
-				n.follow(ctx, start.Add(f.firstStartDelay), f)
-				return
+				start = start.Add(f.firstStartDelay)
 			}
-			n.follow(ctx, start, f)
+			guard.Loop(ctx, n.log, "feed "+f.prefix, func(ctx context.Context) { n.follow(ctx, start, f) })
 		})
 	}
 	workers.Wait()
@@ -179,10 +180,10 @@
 		if held.Revision > 0 && listing.Era != held.Era {
 			n.log.Warn().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("HeldRevision", held.Revision).Int("Retained", f.holder.Retained()).
 				Msg("the platform's store was restored from an older copy")
-			n.background.Go(func() { n.restoreSecret(ctx) })
+			n.spawn("secret", func() { n.restoreSecret(ctx) })
 		}
 		n.log.Info().Str("Feed", f.prefix).Uint64("Era", listing.Era).Uint64("Revision", listing.Revision).Uint64("Catalog", f.holder.Snapshot().CatalogVersion()).Int("Rejected", f.holder.Rejected()).Msg("configuration is in force")
-		n.background.Go(func() { n.agent.Announce(ctx) })
+		n.spawn("announcement", func() { n.agent.Announce(ctx) })
 	}
 	f.holder.MarkFresh(listing.Position(), sent)
 	return nil
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/wasabibend/wasabibend/internal/process/claims"
 	"github.com/wasabibend/wasabibend/internal/process/crash"
 	"github.com/wasabibend/wasabibend/internal/process/gates"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/process/logs"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/quota"
@@ -169,7 +170,7 @@
 		ctx:        ctx,
 		gate:       gates.NewGate(gates.NewGradient()),
 		log:        log,
-		mesh:       links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithSource(settings.Source)),
+		mesh:       links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source)),
 		pool:       pool.New(pool.WithSource(settings.Source)),
 		flushSpans: flushSpans,
 		stats:      stats.New(),
@@ -219,6 +220,7 @@
 		Self:       settings.Peers,
 		Shards:     settings.Shards,
 		LeaseState: n.quota.LeaseState,
+		Log:        log,
 		Store:      n.store,
 		Zone:       settings.Zone,
 		Zones:      settings.Zones,
@@ -317,8 +319,24 @@
 	for _, s := range servers {
 		workers.Go(s.serve)
 	}
-	for _, loop := range []func(context.Context){n.offerSecrets, n.agent.Run, n.crashes.Run, n.followAll, n.gate.Run, n.openGate, n.updateRetryBounds, n.pool.Run, n.probeUpstream, n.prune, n.quota.Run, n.reapConns, n.reportDroppedLines, n.maintainSeeds, n.monitorUpstream} {
-		workers.Go(func() { loop(n.ctx) })
+	for name, loop := range map[string]func(context.Context){
+		"announcements of the upstream": n.monitorUpstream,
+		"connections of callers":        n.reapConns,
+		"connections to nodes":          n.pool.Run,
+		"crashes":                       n.crashes.Run,
+		"evacuations":                   n.openGate,
+		"feeds":                         n.followAll,
+		"gate":                          n.gate.Run,
+		"log":                           n.reportDroppedLines,
+		"membership":                    n.agent.Run,
+		"offers of the secret":          n.offerSecrets,
+		"probe of the upstream":         n.probeUpstream,
+		"rates":                         n.quota.Run,
+		"retries":                       n.updateRetryBounds,
+		"seeds":                         n.maintainSeeds,
+		"statistics":                    n.prune,
+	} {
+		workers.Go(func() { guard.Loop(n.ctx, n.log, name, loop) })
 	}
 	n.log.Info().Stringer("Callers", n.settings.Load().Callers).Stringer("Peers", n.settings.Load().Peers).Msg("node is serving")
 	<-stop.Done()
@@ -337,6 +355,11 @@
 	return trace.Wrap(n.flushSpans(flushCtx))
 }
 
+// spawn runs a function in the background. Run waits for it at its end.
+func (n *Node) spawn(name string, f func()) {
+	n.background.Go(func() { guard.Run(n.log, name, f) })
+}
+
 // drain stops serving without interrupting requests, within the drain time of the
 // settings. First the node keeps serving for the lame-duck time, while callers and
 // other nodes learn that it is leaving; near its end it marks the upstream beside
--- a/internal/process/node/secret.go
+++ b/internal/process/node/secret.go
@@ -71,7 +71,7 @@
 // storeRestored writes again what the node holds by itself and the platform's store, which
 // was restored from an older copy, may have lost.
 func (n *Node) storeRestored() {
-	n.background.Go(func() { n.claims.Rewrite(n.ctx) })
+	n.spawn("claims", func() { n.claims.Rewrite(n.ctx) })
 }
 
 // restoreSecret stores the secret again if the platform's store, which was restored from
--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/conns"
 	"github.com/wasabibend/wasabibend/internal/conn/links"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/request/relay"
 	"github.com/wasabibend/wasabibend/pkg/admin"
 )
@@ -56,7 +57,7 @@
 		}
 		s := &server{
 			drains:   l.drains,
-			http:     &http.Server{ErrorLog: discardLogger(), Handler: l.handler, IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.Load().HeaderBytes, ReadHeaderTimeout: headerTimeout},
+			http:     &http.Server{ErrorLog: discardLogger(), Handler: guard.Handler(n.log, l.handler), IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.Load().HeaderBytes, ReadHeaderTimeout: headerTimeout},
 			listener: listener,
 		}
 		if l.drains {
--- a/internal/process/node/zones.go
+++ b/internal/process/node/zones.go
@@ -74,7 +74,7 @@
 	if slices.Contains(ended, own) {
 		n.upstream.expectCold(now)
 		n.logCold(now)
-		n.background.Go(func() { n.probeCold(n.ctx) })
+		n.spawn("probe of the upstream", func() { n.probeCold(n.ctx) })
 	}
 	if n.gate.SetClosed(snapshot.Evacuated(own)) {
 		n.publishUpstream()
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -15,6 +15,7 @@
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
 	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/process/claims"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
@@ -197,7 +198,7 @@
 	}
 	ctx = context.WithoutCancel(ctx)
 	c.workers.Go(func() {
-		_, _ = c.call(ctx, time.Now(), &ask)
+		guard.Run(c.Log, "tokens", func() { _, _ = c.call(ctx, time.Now(), &ask) })
 	})
 }
 
