Send a request again on a new connection only

What operators of similar systems saw: a second copy of an answer came late on a connection in use again, and another caller got it. Answers to other requests are told apart by their id. A retry of the same request has the same id: where an upstream rejected a transfer and sent the rejection twice, the second copy was taken for the answer to the retry, which had run.

Change: a request that is sent to the same upstream again gets a new connection. Ruled out: closing the connection of the first try; answers of others on it would be as good as before, and the retry would still need a new one. Cost: a handshake of about a millisecond for each retry.

--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -101,6 +101,10 @@
 	// HeaderTimeout is the longest wait for the response's header. It starts anew
 	// after each interim response. Zero means that only the deadline applies.
 	HeaderTimeout time.Duration
+	// Resent is set if the request has been sent to the address before. It is then sent on
+	// a new connection: on the earlier one a second copy of the answer to the first time
+	// may still come, which cannot be told from the answer to this time.
+	Resent bool
 	// To is the address to send to.
 	To netip.AddrPort
 	// AllowUnframed accepts a response without a Content-Length or chunked encoding.
@@ -221,10 +225,11 @@
 	return limit.max
 }
 
-// take returns a reusable idle connection, or else a new one. It closes the idle
+// take returns a reusable idle connection, or else a new one, which it always does for a
+// request that is sent again. It closes the idle
 // connections that it rejects.
 func (p *Pool) take(ctx context.Context, now time.Time, call *Call) (*conn, error) {
-	for {
+	for !call.Resent {
 		c, limit := p.pop(now, call.To)
 		if c == nil {
 			break
--- a/internal/process/guard/guard.go
+++ b/internal/process/guard/guard.go
@@ -42,7 +42,10 @@
 // Loop calls a function until it returns. If the function panics, it is called again after
 // restartDelay, unless the context has ended.
 func Loop(ctx context.Context, log zerolog.Logger, name string, f func(context.Context)) {
-	for !Run(log, name, func() { f(ctx) }) && pause.For(ctx, restartDelay) == nil {
+	for {
+		if Run(log, name, func() { f(ctx) }) || pause.For(ctx, restartDelay) != nil {
+			return
+		}
 	}
 }
 
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -187,7 +187,7 @@
 	mayHaveRun := false // in an earlier try
 	tries := 1
 	for ; ; tries++ {
-		response, info, err = lc.send(request)
+		response, info, err = lc.send(request, tries > 1)
 		if err != nil && lc.mayRetryError(time.Now(), request, err, tries) {
 			mayHaveRun = true
 			lc.relay.Stats.Retries.Add("Forgotten", 1)
@@ -224,8 +224,8 @@
 	return &pendingResponse{finish: func(complete bool) { lc.finish(failed || !complete) }, response: response}, left, nil
 }
 
-// send sends the request to the upstream once.
-func (lc *localCall) send(request *http.Request) (*http.Response, ResponseInfo, error) {
+// send sends the request to the upstream once, or once more.
+func (lc *localCall) send(request *http.Request, again bool) (*http.Response, ResponseInfo, error) {
 	var info ResponseInfo
 	lc.setHeaders(request)
 	response, err := lc.relay.Pool.Do(lc.ctx, &pool.Call{
@@ -238,6 +238,7 @@
 		BodyIdleTimeout: lc.relay.Idle,
 		Request:         request,
 		HeaderTimeout:   lc.relay.FirstByte,
+		Resent:          again,
 		To:              lc.address,
 		AllowUnframed:   lc.relay.Catalog != nil,
 	})
--- a/internal/request/relay/retry_test.go
+++ b/internal/request/relay/retry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,3 +88,39 @@
 		})
 	}
 }
+
+// TestSecondCopyOfRejection guards against a request that runs twice: the upstream rejects
+// it, and sends a second copy of that answer late, where the answer to the retry of the
+// same request is due. The retry would then seem not to have run.
+func TestSecondCopyOfRejection(t *testing.T) {
+	var rejections, runs atomic.Int64
+	upstream := serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		copies := ""
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			response := copies + responseOK
+			if rejections.Add(1) == 1 {
+				response, copies = responseRejected, responseRejected
+			} else {
+				runs.Add(1)
+			}
+			if _, err := io.WriteString(conn, response); err != nil {
+				return
+			}
+		}
+	})
+	relay := newRelay(t, netip.AddrPort{}, upstream)
+	relay.Dialect = shedding{}
+	lc, refusal := relay.enterGate(t.Context(), time.Now(), &chain.Chain{Remaining: 10 * time.Second, Route: "pay", Service: "ledger", Weight: 1}, false)
+	assert.Check(t, refusal == nil)
+	pending, _, refusal := lc.call(&http.Request{Header: make(http.Header), Host: "x", Method: http.MethodPost, URL: &url.URL{Path: "/"}})
+	assert.Check(t, refusal == nil)
+	assert.Equal(t, pending.response.StatusCode, http.StatusOK)
+	assert.NilError(t, pending.response.Body.Close())
+	pending.finish(true)
+	assert.Equal(t, runs.Load(), int64(1))
+}
