Wait for a silent node if the request cannot be sent elsewhere

What operators of similar systems saw: a machine that was only silent for a while had its running work given up. A node that is paused for 1.2 s, between sending interim responses, had its calls ended as UpstreamFailed. Idempotent calls are then sent to another node. Others were answered 502, although their answers came some time later (TestSilentPeer: 502, 200 wanted).

Change: for a call that is not idempotent the silent node is ejected after the same time, so that it gets no further calls, but the call waits until its deadline. Ruled out: waiting for the membership to find the node dead; that takes longer than most deadlines.

--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -39,7 +40,7 @@
 		if err := e.setHeaderDeadline(); err != nil {
 			return nil, err
 		}
-		if _, err := e.conn.reader.Peek(1); err != nil {
+		if err := e.awaitResponse(); err != nil {
 			return nil, err
 		}
 		e.responseStarted = true
@@ -67,6 +68,19 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// awaitResponse waits for the first byte of a response.
+func (e *exchange) awaitResponse() error {
+	_, err := e.conn.reader.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || e.call.OnSilence == nil || !e.call.OnSilence() {
+		return err
+	}
+	if err := e.conn.SetReadDeadline(e.call.Deadline); err != nil {
+		return err
+	}
+	_, err = e.conn.reader.Peek(1)
+	return err
+}
+
 // readHead reads the head of the next response, of which it reads at most maxHeadBytes.
 func (e *exchange) readHead() (*http.Response, error) {
 	limit, buffered := e.conn.limit, e.conn.reader.Buffered()
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -101,6 +101,9 @@
 	// HeaderTimeout is the longest wait for the response's header. It starts anew
 	// after each interim response. Zero means that only the deadline applies.
 	HeaderTimeout time.Duration
+	// OnSilence is called when the server has been silent for HeaderTimeout, and reports
+	// whether to wait on until the deadline. Nil means not to.
+	OnSilence func() bool
 	// Resent is set if the request has been sent to the address before. It is then sent on
 	// a new connection: on the earlier one a second copy of the answer to the first time
 	// may still come, which cannot be told from the answer to this time.
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -380,6 +380,7 @@
 		BodyIdleTimeout: s.relay.Idle,
 		Request:         request,
 		HeaderTimeout:   peerHeaderTimeout,
+		OnSilence:       func() bool { return s.waitForSilent(node) },
 		To:              node,
 	})
 	if err != nil {
@@ -404,6 +405,17 @@
 	return &pendingResponse{finish: func(bool) {}, response: response}, left, nil
 }
 
+// waitForSilent ejects a node that has been silent for peerHeaderTimeout, and reports
+// whether to wait on for its answer: the node may only be slow, and a call that is not
+// idempotent cannot be sent to another one.
+func (s *session) waitForSilent(node netip.AddrPort) bool {
+	if s.idempotent {
+		return false
+	}
+	s.relay.balancer.Eject(time.Now(), node)
+	return true
+}
+
 // peerRefusal returns the refusal for a call to which a node did not respond. It
 // ejects the node, unless the call had been cancelled or its deadline had passed.
 func (s *session) peerRefusal(node netip.AddrPort, err error) *refuse.Refusal {
