--- a/pkg/rows/catalog.go
+++ b/pkg/rows/catalog.go
@@ -126,6 +126,8 @@
 		return trace.BadParameter("Attempts %d: want 1 to %d", r.Attempts, MaxAttempts)
 	case r.Importance < 0 || r.Importance > MaxImportance:
 		return trace.BadParameter("Importance %d: want 0 to %d", r.Importance, MaxImportance)
+	case r.Objective < 0:
+		return trace.BadParameter("Objective %v: want 0 or more", r.Objective)
 	case r.Timeout <= 0 || r.Timeout > MaxTimeout:
 		return trace.BadParameter("Timeout %v: want more than 0 and at most %v", r.Timeout, MaxTimeout)
 	}
