Tell refused callers when cold services will be warm

Cause: while the services of a route are cold nearly all its requests are refused, and were told to come back after 0.15 to 0.45 of the objective. Most came back too early and were refused for good.

Change: the load that a node reports has how much longer its upstream, or those that it calls, are cold. An entry at which more than half of the responses to a route say so adds that time to the delay. Refusals at a cold gate have it too, with up to 500 ms of jitter. Ruled out: the time of any cold upstream; one of many has no bearing on the others.

--- a/internal/cmds/measure/model.go
+++ b/internal/cmds/measure/model.go
@@ -244,7 +244,7 @@
 		r := u.tickets[t]
 		delete(u.tickets, t)
 		r.done = true
-		m.retry(r, max(u.gate.RetryAfter(), minRetryBackoff))
+		m.retry(r, max(u.gate.RetryAfter(m.now), minRetryBackoff))
 	}
 }
 
--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -76,6 +76,14 @@
 	minAllowedWait = 10 * time.Millisecond
 )
 
+const (
+	// coldSmoothing is the weight of a response in the share of those from cold services.
+	coldSmoothing = 0.1
+	// minColdShare is the share of such responses from which refused callers are told to
+	// come back when the service is warm. Below it others of its upstreams serve.
+	minColdShare = 0.5
+)
+
 // Request is a request at the entry of the call graph.
 type Request struct {
 	// Importance ranges from 0 to rows.MaxImportance, the most important.
@@ -108,6 +116,7 @@
 // limit limits the admitted requests of a route that are not answered yet.
 type limit struct {
 	adaptedAt   time.Time
+	coldShare   float64 // average of the responses from cold services
 	demand      float64 // average of the requests in flight without a limit
 	enteredAt   time.Time
 	importance  int
@@ -116,6 +125,7 @@
 	peak        int  // most requests in flight since adaptedAt
 	refused     bool // a request was refused since adaptedAt
 	wait        *gates.WaitAverage
+	warmAt      time.Time // when a cold service will be warm, as last reported
 }
 
 // New returns Limits that admit all requests until requests wait too long.
@@ -140,7 +150,7 @@
 	if !lim.hasRoom(l.random()) {
 		lim.peak = max(lim.peak, lim.inFlight)
 		lim.refused = true
-		return jitteredRetryAfter(r.Objective, l.random()), false
+		return lim.coldFor(now) + jitteredRetryAfter(r.Objective, l.random()), false
 	}
 	lim.inFlight++
 	lim.peak = max(lim.peak, lim.inFlight)
@@ -154,12 +164,47 @@
 	l.forRoute(now, route).inFlight--
 }
 
-// Observe records how long a request of a route, or a call that it made, waited
-// in the queue of a service.
-func (l *Limits) Observe(now time.Time, route string, wait time.Duration) {
+// Observation is what a response tells about the services that a request reached,
+// directly or through sub-calls.
+type Observation struct {
+	// ColdFor is how much longer an upstream is cold, 0 if none is.
+	ColdFor time.Duration
+	// Wait is how long the request, or a call that it made, waited in the queue of a
+	// service.
+	Wait time.Duration
+}
+
+// Observe records what a response to a request of a route tells.
+func (l *Limits) Observe(now time.Time, route string, o Observation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim := l.forRoute(now, route)
+	lim.wait.Observe(now, o.Wait)
+	cold := 0.0
+	if o.ColdFor > 0 {
+		cold = 1
+		lim.warmAt = now.Add(o.ColdFor)
+	}
+	lim.coldShare += (cold - lim.coldShare) * coldSmoothing
+}
+
+// ColdFor returns how much longer the services that requests of a route reach are cold, 0
+// if that is unknown or if most responses lately came from warm ones.
+func (l *Limits) ColdFor(now time.Time, route string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.forRoute(now, route).wait.Observe(now, wait)
+	lim := l.routes[route]
+	if lim == nil {
+		return 0
+	}
+	return lim.coldFor(now)
+}
+
+func (lim *limit) coldFor(now time.Time) time.Duration {
+	if lim.coldShare <= minColdShare {
+		return 0
+	}
+	return max(lim.warmAt.Sub(now), 0)
 }
 
 // Wait returns how long requests of a route, or the calls that they make, have
--- a/internal/process/admit/admit_test.go
+++ b/internal/process/admit/admit_test.go
@@ -265,7 +265,7 @@
 // answered within the objective.
 func (m *model) finish(r *request, complete bool) {
 	if m.limits != nil {
-		m.limits[r.entry].Observe(m.now, r.route, r.wait)
+		m.limits[r.entry].Observe(m.now, r.route, Observation{Wait: r.wait})
 		m.limits[r.entry].Leave(m.now, r.route)
 	}
 	switch {
@@ -286,7 +286,7 @@
 	now := time.Unix(1000, 0)
 	for i := range 10000 {
 		now = now.Add(time.Millisecond)
-		l.Observe(now, "browse", 0)
+		l.Observe(now, "browse", Observation{})
 		_, ok := l.Enter(now, Request{Importance: 7, Objective: time.Second, Route: "browse"})
 		assert.Check(t, ok, "request %d", i)
 	}
@@ -301,3 +301,51 @@
 	assert.Equal(t, allowedWait(9), maxAllowedWait)
 	assert.Equal(t, allowedWait(0), minAllowedWait)
 }
+
+// TestRetryAfterCold guards against callers that come back, and are refused again, while
+// the services that their route reaches are cold, and against callers that stay away for
+// the sake of one cold upstream.
+func TestRetryAfterCold(t *testing.T) {
+	const objective = time.Second
+	for _, c := range []struct {
+		name         string
+		cold, warm   int // responses
+		after        time.Duration
+		least, most  time.Duration
+		wantColdTime time.Duration
+	}{
+		{"all cold", 20, 0, 0, 2150 * time.Millisecond, 2450 * time.Millisecond, 2 * time.Second},
+		{"half of the time later", 20, 0, time.Second, 1150 * time.Millisecond, 1450 * time.Millisecond, time.Second},
+		{"warm again", 20, 0, 3 * time.Second, 150 * time.Millisecond, 450 * time.Millisecond, 0},
+		{"one of many", 1, 20, 0, 150 * time.Millisecond, 450 * time.Millisecond, 0},
+		{"none", 0, 20, 0, 150 * time.Millisecond, 450 * time.Millisecond, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			l := New()
+			request := Request{Importance: 5, Objective: objective, Route: "browse"}
+			for range 20 {
+				_, ok := l.Enter(now, request)
+				assert.Check(t, ok)
+			}
+			for i := range c.cold + c.warm {
+				o := Observation{Wait: time.Second}
+				if i < c.cold {
+					o.ColdFor = 2 * time.Second
+				}
+				l.Observe(now, "browse", o)
+			}
+			refused := now.Add(c.after)
+			l.Observe(refused, "browse", Observation{ColdFor: l.ColdFor(refused, "browse"), Wait: time.Second})
+			for range 20 {
+				refused = refused.Add(interval)
+				_, _ = l.Enter(refused, request)
+			}
+			refused = now.Add(c.after)
+			after, ok := l.Enter(refused, request)
+			assert.Check(t, !ok)
+			assert.Check(t, after >= c.least && after <= c.most, "retry after %v", after)
+			assert.Equal(t, l.ColdFor(refused, "browse"), c.wantColdTime)
+		})
+	}
+}
--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -19,6 +19,9 @@
 
 // Load is the load of a gate, as reported to other nodes.
 type Load struct {
+	// ColdFor is how much longer the upstream, or those of the services that it calls, are
+	// cold, whichever is longer.
+	ColdFor                  time.Duration
 	InFlight, Limit, Waiting int
 	// RateLimited is set if the upstream names a number of requests per second.
 	RateLimited bool
@@ -53,11 +56,11 @@
 	}
 	if t.HasAlternative && g.queue.RateExhausted(now) {
 		defer g.mu.Unlock()
-		return refuse.New(refuse.UpstreamLimited, g.queue.RetryAfter(), "the upstream takes no more requests per second")
+		return refuse.New(refuse.UpstreamLimited, g.queue.RetryAfter(now), "the upstream takes no more requests per second")
 	}
 	t.decided = make(chan bool, 1)
 	runs, refused := g.queue.Offer(now, t)
-	retryAfter := g.queue.RetryAfter()
+	retryAfter := g.queue.RetryAfter(now)
 	cause := refuse.Overloaded
 	if g.queue.rates.limited() {
 		cause = refuse.UpstreamLimited
@@ -161,7 +164,7 @@
 func (g *Gate) ColdFor(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(g.queue.rates.cold.warmAt.Sub(now), 0)
+	return g.queue.ColdFor(now)
 }
 
 // Answered records that the upstream has responded to an admitted request.
@@ -179,12 +182,12 @@
 	return !g.closed && g.queue.TakeRepeat(now)
 }
 
-// Load returns the gate's load. Its Wait covers only waits at this gate. While the
+// Load returns the gate's load. Its ColdFor and Wait cover only this gate. While the
 // upstream's rate leaves no room, it shows as many requests in flight as the limit.
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	load := Load{InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), RateLimited: g.queue.rates.limited(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
+	load := Load{ColdFor: g.queue.ColdFor(now), InFlight: g.queue.InFlight(), Limit: g.queue.Limit(), RateLimited: g.queue.rates.limited(), Wait: g.queue.Wait(now), Waiting: g.queue.Waiting()}
 	if g.queue.RateExhausted(now) {
 		load.InFlight = max(load.InFlight, load.Limit)
 	}
--- a/internal/process/gates/queue.go
+++ b/internal/process/gates/queue.go
@@ -247,12 +247,17 @@
 	return false
 }
 
-// RetryAfter returns the time after which a refused request should be retried:
-// the time that the requests in flight and waiting are expected to take, at least
-// 50 ms.
-func (q *Queue) RetryAfter() time.Duration {
+// RetryAfter returns the time after which a refused request should be retried: the time
+// that the requests in flight and waiting are expected to take, at least 50 ms, or the
+// time for which the upstream is still cold.
+func (q *Queue) RetryAfter(now time.Time) time.Duration {
 	rounds := 1 + float64(len(q.waiting))/float64(max(q.Limit(), 1))
-	return max(time.Duration(rounds*q.meanSeconds*float64(time.Second)), 50*time.Millisecond)
+	return max(time.Duration(rounds*q.meanSeconds*float64(time.Second)), 50*time.Millisecond, q.ColdFor(now))
+}
+
+// ColdFor returns how much longer the upstream is cold, 0 if it is warm.
+func (q *Queue) ColdFor(now time.Time) time.Duration {
+	return max(q.rates.cold.warmAt.Sub(now), 0)
 }
 
 // start counts a request as in flight and as served to its customer. If nothing
--- a/internal/request/relay/admission_test.go
+++ b/internal/request/relay/admission_test.go
@@ -43,7 +43,7 @@
 	assert.Check(t, refusal == nil)
 	for range 200 {
 		now = now.Add(100 * time.Millisecond)
-		r.admission.Observe(now, p.route, time.Second)
+		r.admission.Observe(now, p.route, admit.Observation{Wait: time.Second})
 		if _, ok := r.admission.Enter(now, admit.Request{Importance: p.importance, Route: p.route}); ok {
 			r.admission.Leave(now, p.route)
 		}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -82,8 +82,8 @@
 }
 
 // load returns the load of the local upstream. For a route of the catalog, the wait
-// is raised to that of the denied retries and to the waits of the routes that the
-// upstream calls, if these are longer.
+// is raised to that of the denied retries, and the wait and the cold time to those of the
+// routes that the upstream calls, if these are longer.
 func (r *Relay) load(now time.Time, route string) gates.Load {
 	load := r.Gate.Load(now)
 	if route == "" {
@@ -92,6 +92,7 @@
 	load.Wait = max(load.Wait, r.deniedRetries.recentWait(now))
 	for _, callee := range r.callees.recent(now) {
 		load.Wait = max(load.Wait, r.admission.Wait(now, callee))
+		load.ColdFor = max(load.ColdFor, r.admission.ColdFor(now, callee))
 	}
 	return load
 }
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -15,6 +16,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
+	"github.com/wasabibend/wasabibend/internal/process/admit"
 	"github.com/wasabibend/wasabibend/internal/process/crash"
 	"github.com/wasabibend/wasabibend/internal/process/gates"
 	"github.com/wasabibend/wasabibend/internal/process/member"
@@ -92,10 +94,17 @@
 	if s.release != nil && refusal.Ran == refuse.NotRun {
 		s.release()
 	}
+	if refusal.Cause == refuse.UpstreamLimited {
+		refusal.RetryAfter += rand.N(limitedJitter)
+	}
 	s.relay.refuse(s.writer, s.chain.Customer, refusal)
 	return refusal, 0
 }
 
+// limitedJitter is the longest time that is added to the retry delay of a request that the
+// rate of an upstream holds back, as all of them may come back when the limit ends.
+const limitedJitter = 500 * time.Millisecond
+
 // prepare builds the header to forward and sets up the body. It buffers a body of at
 // most maxReplayBytes, so that it can be sent again.
 func (s *session) prepare(cancel context.CancelCauseFunc) *refuse.Refusal {
@@ -357,7 +366,7 @@
 func (s *session) observe(now time.Time, node netip.AddrPort, load gates.Load) {
 	s.relay.balancer.Observe(now, node, load)
 	if s.chain.Route != "" {
-		s.relay.admission.Observe(now, s.chain.Route, load.Wait)
+		s.relay.admission.Observe(now, s.chain.Route, admit.Observation{ColdFor: load.ColdFor, Wait: load.Wait})
 	}
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wasabibend/wasabibend/internal/process/gates"
+	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
 // bufferSize is the size in bytes of the buffers for copying response bodies.
@@ -100,7 +101,9 @@
 }
 
 // formatLoad returns the header form of a load: requests in flight, limit, waiting
-// requests and wait in milliseconds, separated by commas, and a 1 if the rate is limited.
+// requests and wait in milliseconds, separated by commas. If the rate is limited or an
+// upstream is cold, there follow a 1 or 0 for the former and how much longer the latter is,
+// in milliseconds.
 func formatLoad(load gates.Load) string {
 	b := make([]byte, 0, typicalLoadLength)
 	for i, n := range [...]int64{int64(load.InFlight), int64(load.Limit), int64(load.Waiting), load.Wait.Milliseconds()} {
@@ -109,19 +112,30 @@
 		}
 		b = strconv.AppendInt(b, n, 10)
 	}
+	if !load.RateLimited && load.ColdFor == 0 {
+		return string(b)
+	}
+	limited := ",0"
 	if load.RateLimited {
-		b = append(b, rateLimitedSuffix...)
+		limited = rateLimitedSuffix
+	}
+	b = append(b, limited...)
+	if load.ColdFor > 0 {
+		b = strconv.AppendInt(append(b, ','), load.ColdFor.Milliseconds(), 10)
 	}
 	return string(b)
 }
 
-// rateLimitedSuffix ends the header form of a load whose rate is limited. Nodes of earlier
+// rateLimitedSuffix follows the numbers of a load whose rate is limited. Nodes of earlier
 // versions ignore it.
 const rateLimitedSuffix = ",1"
 
 // typicalLoadLength is the usual length in bytes of a load's header form.
 const typicalLoadLength = 24
 
+// maxColdMS is the longest time in milliseconds for which an upstream may be cold.
+const maxColdMS = int(rows.MaxColdTime / time.Millisecond)
+
 // parseLoad parses the header form of a load, or returns false.
 func parseLoad(text string) (gates.Load, bool) {
 	var numbers [4]int
@@ -134,5 +148,17 @@
 		numbers[i] = n
 		text = rest
 	}
-	return gates.Load{InFlight: numbers[0], Limit: numbers[1], RateLimited: text == rateLimitedSuffix[1:], Wait: time.Duration(numbers[3]) * time.Millisecond, Waiting: numbers[2]}, true
+	limited, cold, _ := strings.Cut(text, ",")
+	coldMS, err := strconv.Atoi(cold)
+	if err != nil || coldMS < 0 || coldMS > maxColdMS {
+		coldMS = 0
+	}
+	return gates.Load{
+		ColdFor:     time.Duration(coldMS) * time.Millisecond,
+		InFlight:    numbers[0],
+		Limit:       numbers[1],
+		RateLimited: limited == rateLimitedSuffix[1:],
+		Wait:        time.Duration(numbers[3]) * time.Millisecond,
+		Waiting:     numbers[2],
+	}, true
 }
