--- a/internal/process/node/restore_test.go
+++ b/internal/process/node/restore_test.go
@@ -256,3 +256,38 @@
 		}
 	}
 }
+
+// TestRestartWithoutStore guards against a configuration from before the last change, such
+// as with a key that was withdrawn, at nodes that are restarted one after the other while
+// the platform's store is away. Each gets it from peers that have it, or has none.
+func TestRestartWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newCallFleet(10)
+		f.platform.SetFaults(objapi.Faults{Delay: storeDelay})
+		operator := f.platform.NewMemoryStore()
+		f.write(t, operator, 1)
+		f.start(t, true)
+		time.Sleep(20 * time.Second)
+		f.write(t, operator, 2)
+		time.Sleep(configBound)
+		f.checkVersion(t, 2)
+		f.platform.SetFaults(objapi.Faults{Down: true})
+		for i, n := range f.nodes {
+			old := n.settings.Load()
+			f.cancels[i]()
+			f.net.Remove(old.Peers)
+			time.Sleep(time.Second)
+			f.startNode(ctx, i, &setup.Settings{Join: f.addresses, Peers: old.Peers, Secret: old.Secret, Zone: old.Zone})
+			for range 300 {
+				time.Sleep(10 * time.Millisecond)
+				version := f.nodes[i].catalog.Snapshot().CatalogVersion()
+				assert.Check(t, version == 0 || version == 2, "node %d has version %d", i, version)
+			}
+			assert.Equal(t, f.nodes[i].catalog.Snapshot().CatalogVersion(), uint64(2))
+		}
+		cancel()
+		f.stop()
+	})
+}
--- a/internal/process/node/storecalls_test.go
+++ b/internal/process/node/storecalls_test.go
@@ -53,6 +53,7 @@
 type callFleet struct {
 	addresses []netip.AddrPort
 	cancel    context.CancelFunc
+	cancels   []context.CancelFunc // by node
 	net       *mesh.Network
 	nodes     []*Node
 	platform  *objapi.Server
@@ -144,21 +145,26 @@
 func (f *callFleet) start(t *testing.T, first bool) {
 	ctx, cancel := context.WithCancel(t.Context())
 	f.cancel = cancel
-	f.nodes, f.stores = nil, nil
+	f.cancels = make([]context.CancelFunc, len(f.addresses))
+	f.nodes = make([]*Node, len(f.addresses))
+	f.stores = make([]*objapi.MemoryStore, len(f.addresses))
 	for i, address := range f.addresses {
-		s := f.platform.NewMemoryStore()
-		f.stores = append(f.stores, s)
-		n := newFollowingNode(ctx, f.net.AddNode(address), s, &setup.Settings{
-			FirstStart: first, Peers: address, Secret: &fleet.Secret{}, Zone: fmt.Sprintf("zone%d", i%fleetZones),
-		})
-		f.nodes = append(f.nodes, n)
-		for _, loop := range []func(context.Context){n.agent.Run, n.followAll, n.maintainSeeds, n.quota.Run} {
-			go loop(ctx)
-		}
+		f.startNode(ctx, i, &setup.Settings{FirstStart: first, Peers: address, Secret: &fleet.Secret{}, Zone: fmt.Sprintf("zone%d", i%fleetZones)})
 		time.Sleep(300 * time.Millisecond / time.Duration(len(f.addresses)))
 	}
 }
 
+// startNode starts a node.
+func (f *callFleet) startNode(ctx context.Context, i int, settings *setup.Settings) {
+	ctx, f.cancels[i] = context.WithCancel(ctx)
+	f.stores[i] = f.platform.NewMemoryStore()
+	n := newFollowingNode(ctx, f.net.AddNode(settings.Peers), f.stores[i], settings)
+	f.nodes[i] = n
+	for _, loop := range []func(context.Context){n.agent.Run, n.followAll, n.maintainSeeds, n.quota.Run} {
+		go loop(ctx)
+	}
+}
+
 // stop stops all nodes and waits until they have ended.
 func (f *callFleet) stop() {
 	f.cancel()
