Allow for long requests before an upstream counts as silent

Found by reading: an upstream counts as cold after a second without a response. Where each request takes longer, that second passes again and again, and the upstream would get the rate of a cold one for good. It is now twice the mean latency where that is longer. gates/testdata/slow.txtar failed before: the request of 4 s waited.

--- a/internal/process/gates/cold.go
+++ b/internal/process/gates/cold.go
@@ -15,8 +15,10 @@
 	warmupDoubling = 50 * time.Millisecond
 	warmupTime     = 300 * time.Millisecond
 	// maxSilence is the time without any response after which an upstream with requests
-	// in flight may have been restarted, and so be cold again.
-	maxSilence = time.Second
+	// in flight may have been restarted, and so be cold again. Where requests take long, it
+	// is silenceRatio times their mean latency.
+	maxSilence   = time.Second
+	silenceRatio = 2
 )
 
 // ColdStart describes the upstreams of a service after a start. The zero value means that
@@ -31,9 +33,10 @@
 // coldLimit limits the requests that start per second at an upstream that is cold, and
 // for warmupTime afterwards. The zero value does not limit them.
 type coldLimit struct {
-	bucket rate
-	start  ColdStart // of the upstream's service
-	warmAt time.Time // zero if the upstream was not cold lately
+	bucket  rate
+	latency time.Duration // mean of the upstream, 0 if unknown
+	start   ColdStart     // of the upstream's service
+	warmAt  time.Time     // zero if the upstream was not cold lately
 
 	// quietSince is the time of the last response, or of the first request in flight
 	// since then; zero if none is in flight. lostSince is the quietSince of the last
@@ -71,7 +74,7 @@
 	if c.start.PerSecond <= 0 {
 		return
 	}
-	if !c.quietSince.IsZero() && now.Sub(c.quietSince) >= maxSilence {
+	if !c.quietSince.IsZero() && now.Sub(c.quietSince) >= max(maxSilence, silenceRatio*c.latency) {
 		c.warmAt = now.Add(c.start.Time)
 	}
 	if c.warmAt.IsZero() {
--- a/internal/process/gates/queue.go
+++ b/internal/process/gates/queue.go
@@ -317,9 +317,10 @@
 func (q *Queue) observeLatency(latency time.Duration) {
 	if q.meanSeconds == 0 {
 		q.meanSeconds = latency.Seconds()
-		return
+	} else {
+		q.meanSeconds += (latency.Seconds() - q.meanSeconds) * latencySmoothing
 	}
-	q.meanSeconds += (latency.Seconds() - q.meanSeconds) * latencySmoothing
+	q.rates.cold.latency = q.meanLatency()
 }
 
 // expire removes and returns the requests that waited too long or are not
