--- a/internal/conn/pool/endless_test.go
+++ b/internal/conn/pool/endless_test.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/csv"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -17,6 +15,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 )
 
 const (
@@ -33,26 +33,19 @@
 // memory, as a host has 284 MB for some 300 requests, and otherwise twice what another
 // node sends in an hour to show that it is alive.
 func TestEndlessResponses(t *testing.T) {
-	in, err := os.Open("testdata/endless.csv")
-	assert.NilError(t, err)
-	defer in.Close()
-	records, err := csv.NewReader(in).ReadAll()
-	assert.NilError(t, err)
-	for _, record := range records[1:] {
-		t.Run(record[0], func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				maxBytes, err := strconv.ParseInt(record[1], 10, 64)
-				assert.NilError(t, err)
-				server := newEndlessServer(t, record[2], record[3])
-				started := time.Now()
-				err = server.exchange(t.Context())
-				assert.Check(t, err != nil, "the response was accepted")
-				assert.Check(t, server.sent.Load() <= maxBytes, "%d bytes were read, want at most %d", server.sent.Load(), maxBytes)
-				assert.Check(t, time.Since(started) < endlessDeadline, "the response was read until the deadline")
-				time.Sleep(2 * endlessInterval) // the server notices that the connection is closed
-			})
+	steps.Cases(t, "testdata/endless.csv", func(t *testing.T, record []string) {
+		synctest.Test(t, func(t *testing.T) {
+			maxBytes, err := strconv.ParseInt(record[1], 10, 64)
+			assert.NilError(t, err)
+			server := newEndlessServer(t, record[2], record[3])
+			started := time.Now()
+			err = server.exchange(t.Context())
+			assert.Check(t, err != nil, "the response was accepted")
+			assert.Check(t, server.sent.Load() <= maxBytes, "%d bytes were read, want at most %d", server.sent.Load(), maxBytes)
+			assert.Check(t, time.Since(started) < endlessDeadline, "the response was read until the deadline")
+			time.Sleep(2 * endlessInterval) // the server notices that the connection is closed
 		})
-	}
+	})
 }
 
 // TestEndlessBody checks that the body of a response that does not end is passed on, and
--- a/internal/process/node/evacuate_test.go
+++ b/internal/process/node/evacuate_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/csv"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 )
@@ -26,17 +25,10 @@
 // against an evacuation that is not in force in time, that is forgotten, or that does not
 // end with its object in the platform's store.
 func TestEvacuations(t *testing.T) {
-	in, err := os.Open("testdata/evacuations.csv")
-	assert.NilError(t, err)
-	defer in.Close()
-	records, err := csv.NewReader(in).ReadAll()
-	assert.NilError(t, err)
-	for _, record := range records[1:] {
-		t.Run(record[0], func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { runEvacuation(t, record) })
-		})
-	}
+	steps.Cases(t, "testdata/evacuations.csv", func(t *testing.T, record []string) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) { runEvacuation(t, record) })
+	})
 }
 
 // runEvacuation runs one record. Its fields are the name, the number of nodes, the zones
--- a/internal/process/node/restore_test.go
+++ b/internal/process/node/restore_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/csv"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,6 +15,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/fakes/mesh"
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
@@ -62,17 +61,10 @@
 // store was restored from an older copy: the store then assigns revisions again that nodes
 // have already seen.
 func TestStoreRestored(t *testing.T) {
-	in, err := os.Open("testdata/restores.csv")
-	assert.NilError(t, err)
-	defer in.Close()
-	records, err := csv.NewReader(in).ReadAll()
-	assert.NilError(t, err)
-	for _, record := range records[1:] {
-		t.Run(record[0], func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { runRestore(t, record) })
-		})
-	}
+	steps.Cases(t, "testdata/restores.csv", func(t *testing.T, record []string) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) { runRestore(t, record) })
+	})
 }
 
 // runRestore runs one record. Its fields are the name, the number of nodes, the number of
