Take an empty list of regions for all regions

TestRegionsOfPolicy failed before in its cases with empty lists. Functions that return refusals are named so, and a gate that does not know yet whether its zone is evacuated says so in its refusals.

--- a/internal/process/gates/gate.go
+++ b/internal/process/gates/gate.go
@@ -52,7 +52,7 @@
 	g.mu.Lock()
 	if g.closed {
 		defer g.mu.Unlock()
-		return errClosed()
+		return closedRefusal()
 	}
 	if t.HasAlternative && g.queue.RateExhausted(now) {
 		defer g.mu.Unlock()
@@ -80,7 +80,7 @@
 			return nil
 		}
 		if g.Closed() {
-			return errClosed()
+			return closedRefusal()
 		}
 		return refuse.New(cause, retryAfter, "the upstream has no room")
 	case <-ctx.Done():
@@ -88,9 +88,9 @@
 	}
 }
 
-// errClosed returns the refusal of a request at a closed gate.
-func errClosed() *refuse.Refusal {
-	return refuse.New(refuse.Evacuated, closedRetryAfter, "the upstream's availability zone is evacuated")
+// closedRefusal returns the refusal of a request at a closed gate.
+func closedRefusal() *refuse.Refusal {
+	return refuse.New(refuse.Evacuated, closedRetryAfter, "the upstream's availability zone is evacuated, or may be")
 }
 
 // SetClosed sets whether the gate refuses all requests, including those that wait. It
--- a/internal/request/relay/policy.go
+++ b/internal/request/relay/policy.go
@@ -124,7 +124,7 @@
 		importance:  route.Importance,
 		maxBody:     snapshot.Limits().BodyBytes,
 		objective:   route.Objective,
-		regions:     route.Regions,
+		regions:     intersectRegions(route.Regions, nil),
 		retries:     route.Attempts - 1,
 		route:       route.Name,
 		service:     r.weightedRoundRobin.next(route),
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -184,7 +184,7 @@
 		}
 	}
 	if last == nil {
-		last = errNoUpstream()
+		last = noUpstreamRefusal()
 	}
 	last.Ran = ran
 	return nil, last
@@ -207,11 +207,11 @@
 	case evacuated:
 		return nil, refuse.New(refuse.Evacuated, defaultRetryAfter, "all availability zones with upstreams of the service are evacuated")
 	}
-	return nil, errNoUpstream()
+	return nil, noUpstreamRefusal()
 }
 
-// errNoUpstream returns the refusal of a request for whose service no node has an upstream.
-func errNoUpstream() *refuse.Refusal {
+// noUpstreamRefusal returns the refusal of a request for whose service no node has an upstream.
+func noUpstreamRefusal() *refuse.Refusal {
 	return refuse.New(refuse.NoUpstream, defaultRetryAfter, "no upstream takes requests of the service")
 }
 
