--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -151,8 +151,8 @@
 }
 
 // poll calls the platform's store once and applies what it returns: the changes since
-// the feed's revision, for which the call waits up to the feed's wait, or all objects if there
-// is no revision yet, the store no longer knows the changes since it or the store was
+// the feed's revision, for which the call waits up to the feed's wait, or all objects if
+// there is no revision yet, the store no longer knows the changes since it or the store was
 // restored from an older copy. If objects changed, or if the feed was not known at all, it
 // announces that to other nodes.
 func (n *Node) poll(ctx context.Context, f feed) error {
--- a/internal/version/snaps/builder.go
+++ b/internal/version/snaps/builder.go
@@ -38,8 +38,8 @@
 )
 
 // apply decodes an object and adds it to the snapshot, unless its value is invalid or
-// older than the one held for its key. Deleted objects other than evacuations, and objects of kinds that this
-// version does not know, are ignored.
+// older than the one held for its key. Objects of kinds that this version does not know are
+// ignored, and so are deleted ones, except that a deleted evacuation ends.
 func (b *builder) apply(object, held store.Object) outcome {
 	switch {
 	case b.snapshot.isEvacuation(object.Key):
