--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/csv"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,6 +19,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/fakes/mesh"
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
@@ -34,25 +33,16 @@
 // window. The percentage of wrongful refusals is limited: those that a single
 // bucket for all hosts would have avoided.
 func TestFailures(t *testing.T) {
-	in, err := os.Open("testdata/failures.csv")
-	assert.NilError(t, err)
-	defer in.Close()
-	reader := csv.NewReader(in)
-	reader.Comment = '#'
-	records, err := reader.ReadAll()
-	assert.NilError(t, err)
-	for _, record := range records[1:] {
-		t.Run(record[0], func(t *testing.T) {
-			t.Parallel()
-			var sum outcome
-			for seed := range seedCount(t, record) {
-				synctest.Test(t, func(t *testing.T) { runCase(t, record, seed, &sum) })
-			}
-			percent := 100 * float64(sum.wrongful) / float64(sum.demanded)
-			t.Logf("wrongful refusals: %.2f %%", percent)
-			assert.Check(t, percent <= parseNumber(t, record[9]), "%.2f %% of the requests were refused wrongfully", percent)
-		})
-	}
+	steps.Cases(t, "testdata/failures.csv", func(t *testing.T, record []string) {
+		t.Parallel()
+		var sum outcome
+		for seed := range seedCount(t, record) {
+			synctest.Test(t, func(t *testing.T) { runCase(t, record, seed, &sum) })
+		}
+		percent := 100 * float64(sum.wrongful) / float64(sum.demanded)
+		t.Logf("wrongful refusals: %.2f %%", percent)
+		assert.Check(t, percent <= parseNumber(t, record[9]), "%.2f %% of the requests were refused wrongfully", percent)
+	})
 }
 
 const (
