--- a/review/_standin/poison.go
+++ b/review/_standin/poison.go
@@ -20,6 +20,7 @@
 	poisonBack   = 2 * time.Second         // after which a crashed backend is back
 	poisonQuiet  = 8 * time.Second         // before the restarts
 	poisonStops  = 15                      // nodes that are stopped and started, one after the other in turn
+	poisonUntil  = 90 * time.Second        // after which no further node is stopped, where stops take long
 	poisonTouch  = 3 * time.Second         // stability_window_ms
 	poisonRate   = 40                      // other reservations a second
 	poisonCounts = 3                       // retries that the rule allows
@@ -124,6 +125,9 @@
 	})
 	time.Sleep(poisonQuiet)
 	for i := range poisonStops {
+		if time.Since(c.record.start) > poisonUntil {
+			break
+		}
 		m := f.machines[i%len(f.machines)]
 		if !c.trouble {
 			time.Sleep(4 * time.Second)
