Give a start of the upstream requests after a health check only

Callers saw reservations cut off (502) by the exit of a backend that had deregistered 11 s before: after a restart of its node, all nodes had sent it new work from 5 s to 11 s after the confirmation.

Cause: which starts have left is kept in the memory of one process. A new one accepted any report of an instance that it had not heard of, also a late one from before the deregistration. The 503 to its own probe was dropped.

Ruled out: nodes that had missed the record (with the node alive the same report changes nothing); probes that come too late (answered 3 s before).

Change: a process that is not the fleet's first on its host gives a start of the upstream requests only once it has answered a health check with 200 under its own ID. 503 keeps it out until its next report; a full or silent upstream is asked again. The upstream knows whether it leaves, so nothing new has to be kept, sent or stored, and older builds see no difference. The first report after a probe was taken for another start and revoked Server-Leaving of the probe; it counts as the same start now.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -29,7 +29,6 @@
 	"github.com/wasabibend/wasabibend/internal/request/relay"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
-	"github.com/wasabibend/wasabibend/pkg/admin"
 )
 
 const (
@@ -62,6 +61,7 @@
 	evacuations evacuations
 	background  conc.WaitGroup // running announcements and joins
 	cancel      context.CancelFunc
+	checkNeeded chan struct{} // receives when a start of the upstream needs a health check
 	claims      *claims.Client
 	config      *snaps.Holder
 	conns       *conns.Tracker // callers' connections
@@ -129,15 +129,13 @@
 }
 
 // WithProbe makes a starting node probe the upstream beside it at the health path
-// of its service, instead of waiting for the upstream's announcement.
+// of its service, instead of waiting for the upstream's announcement. Unless this is the
+// first start of the fleet, each start of the upstream must pass such a probe before it
+// gets requests.
 func WithProbe(probe Probe) Option {
 	return func(n *Node) { n.probe = probe }
 }
 
-// Probe sends a request to the health path of the upstream beside the node and
-// returns the response as an announcement.
-type Probe func(ctx context.Context, settings *setup.Settings, path string) (admin.Announcement, error)
-
 // WithReadyPath sets a second path, besides admin.PathReady, at which the node
 // reports whether it is ready.
 func WithReadyPath(path string) Option {
@@ -165,18 +163,19 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		conns:      conns.NewTracker(descriptors),
-		cancel:     cancel,
-		ctx:        ctx,
-		gate:       gates.NewGate(gates.NewGradient()),
-		log:        log,
-		mesh:       links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source)),
-		pool:       pool.New(pool.WithSource(settings.Source)),
-		flushSpans: flushSpans,
-		stats:      stats.New(),
-		store:      store.NewCounted(platform),
-		table:      member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
-		version:    version,
+		conns:       conns.NewTracker(descriptors),
+		cancel:      cancel,
+		checkNeeded: make(chan struct{}, 1),
+		ctx:         ctx,
+		gate:        gates.NewGate(gates.NewGradient()),
+		log:         log,
+		mesh:        links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source)),
+		pool:        pool.New(pool.WithSource(settings.Source)),
+		flushSpans:  flushSpans,
+		stats:       stats.New(),
+		store:       store.NewCounted(platform),
+		table:       member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
+		version:     version,
 	}
 	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored))
 	n.settings.Store(settings)
@@ -200,6 +199,7 @@
 		holders[i] = f.holder
 	}
 	n.upstream = newUpstream(n.gate, settings.Expiry, n.coldStart)
+	n.upstream.checked = n.checksUpstream() && !settings.FirstStart
 	n.agent = member.NewAgent(n.mesh, n.table, log, holders...)
 	n.crashes = crash.NewAgent(n.mesh, n.table, log)
 	n.quota = quota.NewClient(now, quota.Options{
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -29,6 +29,9 @@
 // instance and the time at which it was born identify one start of the upstream. The
 // only lock that is acquired while its lock is held is that of the gate.
 type upstream struct {
+	// checked is true if a start of the upstream gets requests only after a successful
+	// health check. It does not change once the node runs.
+	checked   bool
 	coldStart func(service string) gates.ColdStart
 	expiry    time.Duration // how long an announcement is valid
 	gate      *gates.Gate
@@ -39,6 +42,13 @@
 	current      admin.Announcement
 	deregistered map[string]time.Time // born times of instances, by ID
 	announcedAt  time.Time            // of current, zero for none and after a crash
+	healthy      upstreamStart        // the last start whose health check succeeded
+}
+
+// upstreamStart identifies one start of an upstream.
+type upstreamStart struct {
+	born     time.Time // zero if unknown
+	instance string
 }
 
 // newUpstream returns an upstream that is absent. Its announcements are valid for
@@ -68,18 +78,68 @@
 	if u.outdated(&a) {
 		return false
 	}
-	same := u.current.Instance == a.Instance && u.current.Born.Equal(a.Born) && u.current.Address == a.Address
+	sameBorn := u.current.Born.Equal(a.Born) || u.current.Born.IsZero() // responses to probes do not tell it
+	same := u.current.Instance == a.Instance && sameBorn && u.current.Address == a.Address
 	a.Draining = a.Draining || (same && u.current.Draining && a.Instance != "")
-	absent := u.readiness(now) == member.Absent
+	absent := u.expired(now)
 	if !same || (absent && a.Slots == 0) || u.current.Slots != a.Slots {
 		u.gate.Reset(newLimiter(a.Slots))
 	}
 	u.setCold(now, a.Service, a.Cold, !same || absent)
 	u.current = a
 	u.announcedAt = now
+	if u.healthy.instance == a.Instance && u.healthy.born.IsZero() {
+		u.healthy.born = a.Born // the response to the health check did not tell it
+	}
 	return true
 }
 
+// needsCheck reports whether the upstream gets no requests only because its current start
+// has not passed a health check yet.
+func (u *upstream) needsCheck(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.expired(now) && !u.current.Draining && !u.isHealthy()
+}
+
+// recordHealthy records that an instance has passed a health check. It returns false if
+// another one announced itself last.
+func (u *upstream) recordHealthy(instance string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.current.Instance != instance {
+		return false
+	}
+	u.healthy = upstreamStart{born: u.current.Born, instance: instance}
+	return true
+}
+
+// isHealthy reports whether the current start needs no health check or has passed one. The
+// caller holds the lock.
+func (u *upstream) isHealthy() bool {
+	current := upstreamStart{born: u.current.Born, instance: u.current.Instance}
+	return !u.checked || current.instance == "" || u.healthy == current
+}
+
+// announcement returns the last announcement.
+func (u *upstream) announcement() admin.Announcement {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.current
+}
+
+// announced reports whether there is a valid announcement.
+func (u *upstream) announced(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.expired(now)
+}
+
+// expired reports whether there is no valid announcement. The caller holds the lock.
+func (u *upstream) expired(now time.Time) bool {
+	return u.announcedAt.IsZero() || now.Sub(u.announcedAt) >= u.expiry
+}
+
 // setCold records how much longer the upstream is cold and tells the gate. If the cold
 // time is unknown, an upstream that may have been started since the last announcement
 // counts as cold for as long as its service's upstreams are. The caller holds the lock.
@@ -206,10 +266,12 @@
 // readiness returns the upstream's readiness. The caller holds the lock.
 func (u *upstream) readiness(now time.Time) member.Readiness {
 	switch {
-	case u.announcedAt.IsZero() || now.Sub(u.announcedAt) >= u.expiry:
+	case u.expired(now):
 		return member.Absent
 	case u.current.Draining:
 		return member.Draining
+	case !u.isHealthy():
+		return member.Absent
 	}
 	return member.Ready
 }
@@ -220,6 +282,12 @@
 	accepted := n.upstream.announce(now, a)
 	n.logCold(now)
 	n.publishUpstream()
+	if accepted && n.upstream.needsCheck(now) {
+		select {
+		case n.checkNeeded <- struct{}{}:
+		default:
+		}
+	}
 	return accepted
 }
 
@@ -254,37 +322,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// maxProbeAttempts is the maximum number of probes that a starting node makes.
-const maxProbeAttempts = 5
-
-// probeUpstream probes the upstream as soon as the catalog, which has the health
-// path, is known. It stops when a probe succeeds, when the upstream announces
-// itself, or after maxProbeAttempts.
-func (n *Node) probeUpstream(ctx context.Context) {
-	settings := n.settings.Load()
-	if n.probe == nil || n.catalog == nil || !settings.Server.IsValid() {
-		return
-	}
-	for n.catalog.Snapshot().CatalogVersion() == 0 {
-		if !sleep(ctx, probePoll) {
-			return
-		}
-	}
-	for attempts := 0; attempts < maxProbeAttempts && sleep(ctx, probePoll); attempts++ {
-		if _, readiness := n.upstream.state(time.Now()); readiness != member.Absent {
-			return
-		}
-		announcement, err := n.probe(ctx, settings, n.catalog.Snapshot().HealthPath(settings.Service))
-		if err != nil {
-			n.log.Info().Err(err).Msg("probing the upstream failed")
-			continue
-		}
-		n.log.Info().Str("Instance", announcement.Instance).Int("Slots", announcement.Slots).Dur("Cold", announcement.Cold).Msg("upstream found by a probe")
-		n.Announce(time.Now(), announcement)
-		return
-	}
-}
-
 // monitorUpstream checks regularly whether the upstream's announcement has expired
 // and tells the other nodes, until the context ends.
 func (n *Node) monitorUpstream(ctx context.Context) {
--- a/internal/process/node/zones.go
+++ b/internal/process/node/zones.go
@@ -99,16 +99,14 @@
 
 // probeCold sends a health check to the upstream to learn whether it is cold.
 func (n *Node) probeCold(ctx context.Context) {
-	settings := n.settings.Load()
-	if n.probe == nil || !settings.Server.IsValid() {
+	if !n.checksUpstream() {
 		return
 	}
-	announcement, err := n.probe(ctx, settings, n.catalog.Snapshot().HealthPath(settings.Service))
+	found, err := n.probeOnce(ctx)
 	if err != nil {
-		n.log.Info().Err(err).Msg("probing the upstream failed")
 		return
 	}
 	now := time.Now()
-	n.upstream.observeProbe(now, announcement)
+	n.upstream.observeProbe(now, found)
 	n.logCold(now)
 }
