Exchange quarantined requests with nodes that lack them

Callers saw 38 to 56 of some 3,240 reservations cut off, as a request that had been quarantined after two crashes crashed backends again once their nodes had been restarted.

Cause: suspects and quarantined requests are kept in the memory of each process and spread by reports of new crashes only. Whoever does not get that one message (a node that starts, is cut off or stands still) never does.

Ruled out: lost reports in a calm fleet (all refuse within a second); fingerprints that depend on the instance.

Change: pings carry a digest of the quarantined requests; where it differs, the two nodes exchange them with the time left of each. A node that starts gets the suspects, too. Builds before this one send no digest and are not asked; the field and the kind of message are new, and they ignore both.

--- a/internal/conn/wire/wire.go
+++ b/internal/conn/wire/wire.go
@@ -28,6 +28,7 @@
 	KindQuarantine                 // reports the requests in flight at a crash
 	KindSync                       // asks for those records of nodes that differ
 	KindWatch                      // asks a node to watch the platform for a while
+	KindCrashes                    // exchanges the quarantined requests
 )
 
 // Frame is a request or an answer on a link.
--- a/internal/process/crash/agent.go
+++ b/internal/process/crash/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,25 +19,37 @@
 // maxQueued is the number of reports that may wait to be sent.
 const maxQueued = 64
 
+// exchangeInterval is the minimum interval at which a node starts to exchange states. Full
+// tables may differ for long.
+const exchangeInterval = time.Second
+
 // Mesh sends messages between nodes.
 type Mesh interface {
+	Call(ctx context.Context, to netip.AddrPort, kind wire.Kind, request any, answer wire.Checker) error
 	Handle(kind wire.Kind, handler func(from netip.AddrPort, body []byte) (any, error))
 	Send(ctx context.Context, to netip.AddrPort, kind wire.Kind, message any) error
 }
 
 // Agent exchanges crash reports with other nodes. A node sends each report that is
-// new to it on to its neighbours, so that it reaches all nodes.
+// new to it on to its neighbours, so that it reaches all nodes that are there. A node that
+// is not, because it starts, is cut off or stands still, gets what it has missed by an
+// exchange of states. It implements member.Shared.
 type Agent struct {
 	*Table
 	log     zerolog.Logger
 	members *member.Table
 	mesh    Mesh
 	queue   chan Report
+
+	mu          sync.Mutex // acquired before the table's
+	exchanged   bool       // an exchange has succeeded since the start
+	exchangedAt time.Time  // when the last exchange was begun
 }
 
 // NewAgent returns an Agent and registers its handler with the mesh.
 func NewAgent(mesh Mesh, members *member.Table, log zerolog.Logger) *Agent {
 	a := &Agent{Table: NewTable(), log: log, members: members, mesh: mesh, queue: make(chan Report, maxQueued)}
+	mesh.Handle(wire.KindCrashes, a.handleExchange)
 	mesh.Handle(wire.KindQuarantine, a.handle)
 	return a
 }
@@ -66,6 +79,59 @@
 	}
 }
 
+// emptyDigest is the digest of a node without quarantined requests.
+const emptyDigest = 1
+
+// Digest implements member.Shared.
+func (a *Agent) Digest(now time.Time) uint64 {
+	return max(a.digest(now), emptyDigest)
+}
+
+// Lacks implements member.Shared. A node that has just started lacks the suspects, too,
+// which are not in the digest because nodes clear them one by one.
+func (a *Agent) Lacks(now time.Time, digest uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Sub(a.exchangedAt) >= exchangeInterval && (!a.exchanged || a.Digest(now) != digest)
+}
+
+// Exchange implements member.Shared.
+func (a *Agent) Exchange(ctx context.Context, peer netip.AddrPort) error {
+	now := time.Now()
+	a.mu.Lock()
+	first := !a.exchanged
+	a.exchangedAt = now
+	a.mu.Unlock()
+	var theirs State
+	if err := a.mesh.Call(ctx, peer, wire.KindCrashes, State{Quarantined: a.State(now).Quarantined}, &theirs); err != nil {
+		return trace.Wrap(err)
+	}
+	a.mu.Lock()
+	a.exchanged = true
+	a.mu.Unlock()
+	a.mergeState(time.Now(), peer, &theirs, first)
+	return nil
+}
+
+// mergeState adds the state of another node and logs what was new.
+func (a *Agent) mergeState(now time.Time, peer netip.AddrPort, s *State, suspects bool) {
+	if added := a.MergeState(now, s, suspects); added > 0 {
+		a.log.Info().Int("Quarantined", added).Stringer("Peer", peer).Msg("took over quarantined requests from a node")
+	}
+}
+
+// handleExchange takes over the quarantined requests of another node and answers with the
+// state of this one.
+func (a *Agent) handleExchange(from netip.AddrPort, body []byte) (any, error) {
+	var theirs State
+	if err := wire.Decode(body, &theirs); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	now := time.Now()
+	a.mergeState(now, from, &theirs, false)
+	return a.State(now), nil
+}
+
 // enqueue queues a report to be sent. If the queue is full, it drops the report,
 // as the next crash brings another.
 func (a *Agent) enqueue(report Report) {
--- a/internal/process/crash/crash.go
+++ b/internal/process/crash/crash.go
@@ -23,6 +23,10 @@
 	crashDebounce = time.Second
 	// suspectTime is how long a request stays a suspect.
 	suspectTime = 10 * time.Minute
+	// minExchanged is the minimum time for which an entry must be valid to be exchanged. It
+	// is longer than the differences between nodes in when the same entry ends, so that
+	// an entry that has ended does not come back from another node.
+	minExchanged = 30 * time.Second
 )
 
 // Bounds on the number of fingerprints.
@@ -50,6 +54,44 @@
 	return nil
 }
 
+// Entry is a fingerprint that a node holds.
+type Entry struct {
+	Fingerprint Fingerprint
+	// Left is for how much longer the node holds it.
+	Left time.Duration
+}
+
+// Check returns an error if Left is negative or longer than any entry is held.
+func (e *Entry) Check() error {
+	if e.Left < 0 || e.Left > max(QuarantineTime, suspectTime) {
+		return trace.BadParameter("crash state: an entry is left for %v", e.Left)
+	}
+	return nil
+}
+
+// State is what a node knows about requests that crash upstreams, for nodes that may lack
+// some of it.
+type State struct {
+	Quarantined []Entry
+	// Suspects are left out in a request.
+	Suspects []Entry `cbor:",omitempty"`
+}
+
+// Check implements wire.Checker.
+func (s *State) Check() error {
+	if len(s.Quarantined)+len(s.Suspects) > maxReportEntries {
+		return trace.BadParameter("crash state has more than %d fingerprints", maxReportEntries)
+	}
+	for _, entries := range [][]Entry{s.Quarantined, s.Suspects} {
+		for i := range entries {
+			if err := entries[i].Check(); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
 // Table holds the suspects, the quarantined requests and the requests in flight
 // at the local upstream. No other lock is acquired while its lock is held.
 type Table struct {
@@ -198,6 +240,73 @@
 	return changed
 }
 
+// State returns the entries that are worth exchanging, at most maxReportEntries of them.
+func (t *Table) State(now time.Time) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var s State
+	s.Quarantined = exchanged(t.quarantined, now, QuarantineTime, maxReportEntries)
+	s.Suspects = exchanged(t.suspects, now, suspectTime, maxReportEntries-len(s.Quarantined))
+	return s
+}
+
+// MergeState adds the quarantined requests of another node, and reports how many of them
+// were new. It adds the suspects, too, if suspects is true, except for requests that have
+// succeeded here recently.
+func (t *Table) MergeState(now time.Time, s *State, suspects bool) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	added := 0
+	for _, e := range s.Quarantined {
+		delete(t.suspects, e.Fingerprint)
+		if add(t.quarantined, e.Fingerprint, now, QuarantineTime) {
+			added++
+			shorten(t.quarantined, e.Fingerprint, now.Add(e.Left-QuarantineTime))
+		}
+	}
+	if !suspects {
+		return added
+	}
+	for _, e := range s.Suspects {
+		if !t.succeededRecently(e.Fingerprint) && add(t.suspects, e.Fingerprint, now, suspectTime) {
+			shorten(t.suspects, e.Fingerprint, now.Add(e.Left-suspectTime))
+		}
+	}
+	return added
+}
+
+// digest returns a hash of the quarantined requests that are worth exchanging.
+func (t *Table) digest(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum uint64
+	for f, at := range t.quarantined {
+		if at.Add(QuarantineTime).Sub(now) >= minExchanged {
+			sum ^= uint64(f)
+		}
+	}
+	return sum
+}
+
+// exchanged returns up to limit entries that are valid for minExchanged or longer.
+func exchanged(entries map[Fingerprint]time.Time, now time.Time, lifetime time.Duration, limit int) []Entry {
+	var chosen []Entry
+	for f, at := range entries {
+		if left := at.Add(lifetime).Sub(now); left >= minExchanged && len(chosen) < limit {
+			chosen = append(chosen, Entry{Fingerprint: f, Left: left})
+		}
+	}
+	return chosen
+}
+
+// shorten makes an entry that was just added count from an earlier time. It has no effect
+// if the map was full.
+func shorten(entries map[Fingerprint]time.Time, f Fingerprint, at time.Time) {
+	if _, ok := entries[f]; ok {
+		entries[f] = at
+	}
+}
+
 // add adds a fingerprint and reports whether it was missing or had expired. If
 // the map is full of entries that have not expired, it drops the fingerprint, but
 // still returns true.
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -44,13 +44,26 @@
 	Send(ctx context.Context, to netip.AddrPort, kind wire.Kind, message any) error
 }
 
+// Shared is state that all nodes have in common and that no feed carries. A node that has
+// started, was cut off or has missed a message takes over from its neighbours what it lacks.
+type Shared interface {
+	// Digest returns a hash of the state at the time now. It is not 0.
+	Digest(now time.Time) uint64
+	// Exchange exchanges the state with a node in both directions.
+	Exchange(ctx context.Context, peer netip.AddrPort) error
+	// Lacks reports whether the state may lack what a node has whose digest is the given
+	// one, or the other way round.
+	Lacks(now time.Time, digest uint64) bool
+}
+
 // Agent exchanges the membership table and the feeds of the platform's store with
 // other nodes. Its lock is acquired before the locks of the table and the feeds.
 type Agent struct {
-	feeds []*snaps.Holder
-	log   zerolog.Logger
-	mesh  Mesh
-	table *Table
+	feeds  []*snaps.Holder
+	log    zerolog.Logger
+	mesh   Mesh
+	shared Shared // nil for none
+	table  *Table
 
 	lagged        chan int      // receives the index of a feed that began to lag
 	watchRequests chan struct{} // receives when the node is asked to watch
@@ -99,6 +112,12 @@
 	return a
 }
 
+// Share makes the agent compare and exchange shared state with its neighbours. It must be
+// called before the agent is used.
+func (a *Agent) Share(shared Shared) {
+	a.shared = shared
+}
+
 // Run pings the neighbours, expires failed nodes, forwards updates and pulls feeds until
 // the context ends.
 func (a *Agent) Run(ctx context.Context) {
@@ -282,7 +301,8 @@
 }
 
 // ping exchanges the states of the tables with a peer, and pulls the feeds in which
-// the peer is ahead. It syncs the membership tables if they keep differing.
+// the peer is ahead. It exchanges the shared state if that differs, and syncs the
+// membership tables if they keep differing.
 func (a *Agent) ping(ctx context.Context, peer netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
@@ -294,6 +314,7 @@
 	a.mu.Lock()
 	a.answeredAt = time.Now()
 	a.mu.Unlock()
+	a.compareShared(ctx, peer, answer.Shared)
 	a.compareDigests(ctx, peer, answer.Digest)
 	for i, state := range answer.Feeds[:min(len(answer.Feeds), len(a.feeds))] {
 		if a.mayPull(sent, peer, i, state.Position()) {
@@ -316,6 +337,17 @@
 	return now.Sub(a.answeredAt) >= isolatedAfter
 }
 
+// compareShared exchanges the shared state with a peer whose digest differs. A digest of 0
+// is that of a node without such state.
+func (a *Agent) compareShared(ctx context.Context, peer netip.AddrPort, digest uint64) {
+	if a.shared == nil || digest == 0 || !a.shared.Lacks(time.Now(), digest) {
+		return
+	}
+	if err := a.shared.Exchange(ctx, peer); err != nil {
+		a.log.Debug().Err(err).Stringer("Peer", peer).Msg("exchanging the shared state with a peer failed")
+	}
+}
+
 // compareDigests syncs the membership table with a peer after syncAfter consecutive
 // pings with differing digests. A single difference may be due to updates that are
 // still on their way.
@@ -397,6 +429,9 @@
 			p.Feeds[i].Age = age
 		}
 	}
+	if a.shared != nil {
+		p.Shared = a.shared.Digest(now)
+	}
 	return p
 }
 
--- a/internal/process/member/messages.go
+++ b/internal/process/member/messages.go
@@ -22,6 +22,8 @@
 	// Feeds are the states of the sender's feeds. All nodes have the same feeds
 	// in the same order.
 	Feeds []FeedState
+	// Shared is the digest of the sender's Shared state, 0 if it has none.
+	Shared uint64 `cbor:",omitempty"`
 }
 
 // Check implements wire.Checker.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -202,6 +202,7 @@
 	n.upstream.checked = n.checksUpstream() && !settings.FirstStart
 	n.agent = member.NewAgent(n.mesh, n.table, log, holders...)
 	n.crashes = crash.NewAgent(n.mesh, n.table, log)
+	n.agent.Share(n.crashes)
 	n.quota = quota.NewClient(now, quota.Options{
 		Config: n.config,
 		Limits: n.limitOf,
