Do not send requests on whose callers have left while they waited

Cause: net/http watches a connection only once the body has been read, which at the node beside the upstream happens after the wait at the gate. The reset by the entry node was not noticed, and the body was there already.

Ruled out: the entry node, which ends the request within 0.2 s of the close; requests without a body, which end at the gate at once.

Change: the servers keep the connection in the context of each request. A node that serves a call with a body looks at the connection while the call lasts, and once more when the gate admits a call that has waited. The entry looks again before each attempt of a request that has waited: the wait for a customer's rate or a claim had no look either.

--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -57,11 +57,10 @@
 		}
 		s := &server{
 			drains:   l.drains,
-			http:     &http.Server{ErrorLog: discardLogger(), Handler: guard.Handler(n.log, l.handler), IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.Load().HeaderBytes, ReadHeaderTimeout: headerTimeout},
+			http:     &http.Server{ConnContext: relay.CallerContext, ErrorLog: discardLogger(), Handler: guard.Handler(n.log, l.handler), IdleTimeout: idleTimeout, MaxHeaderBytes: n.settings.Load().HeaderBytes, ReadHeaderTimeout: headerTimeout},
 			listener: listener,
 		}
 		if l.drains {
-			s.http.ConnContext = relay.CallerContext
 			s.http.ConnState = func(conn net.Conn, state http.ConnState) { n.conns.SetState(time.Now(), conn, state) }
 		}
 		servers = append(servers, s)
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -26,7 +26,8 @@
 	fingerprint uint64    // of a sub-call
 	id          string    // request ID in the caller's logs
 	idempotent  bool
-	maxBody     int64    // bytes; 0 for no limit
+	maxBody     int64 // bytes; 0 for no limit
+	received    time.Time
 	regions     []string // in which the request may be served; nil for all
 	release     func()   // releases the claim of the idempotency key; nil without one
 }
@@ -51,6 +52,7 @@
 		deadline:   now.Add(timeout),
 		idempotent: p.idempotent,
 		maxBody:    p.maxBody,
+		received:   now,
 		regions:    p.regions,
 	}
 	if p.subCall {
@@ -85,6 +87,7 @@
 		deadline:    running.Deadline,
 		fingerprint: fingerprint(req),
 		idempotent:  idempotent(req.Method),
+		received:    now,
 	}
 	c.chain.Depth++
 	c.chain.Parent = running.Span
--- a/internal/request/relay/caller.go
+++ b/internal/request/relay/caller.go
@@ -14,8 +14,8 @@
 // connKey is the context key of a caller's connection.
 type connKey struct{}
 
-// CallerContext returns a context that holds a caller's connection. It is the
-// ConnContext of the callers' server.
+// CallerContext returns a context that holds the connection of a caller, of another node
+// or of the upstream. It is the ConnContext of the servers.
 func CallerContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
 }
@@ -23,8 +23,20 @@
 // errCallerClosed means that the caller has closed its connection.
 var errCallerClosed = errors.New("the caller has left")
 
-// callerPollInterval is how often the connection of a waiting caller is checked.
-const callerPollInterval = 200 * time.Millisecond
+const (
+	// callerPollInterval is how often the connection of a waiting caller is checked.
+	callerPollInterval = 200 * time.Millisecond
+	// minCallerWait is the time after which the connection is checked again before a request
+	// is sent on.
+	minCallerWait = 5 * time.Millisecond
+)
+
+// callerLeft reports whether a request that has waited since a time is not to be sent on,
+// because its caller has closed its side of the connection in ctx or ctx has ended. It does
+// not look at the connection of a request that has hardly waited.
+func callerLeft(ctx context.Context, now, since time.Time) bool {
+	return ctx.Err() != nil || now.Sub(since) >= minCallerWait && callerClosed(ctx)
+}
 
 // callerWatch cancels a request when its caller closes the connection. No other
 // lock is acquired while its lock is held.
@@ -68,7 +80,7 @@
 
 // callerClosed reports whether the caller has closed its side of the connection
 // in ctx; without one it returns false. net/http does not notice this while a
-// pipelined request is unread on the connection.
+// pipelined request or a part of the request's body is unread on the connection.
 func callerClosed(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -52,7 +52,12 @@
 		return
 	}
 	w.Header()[chain.HeaderAnswer] = []string{callID(c)}
-	lc, refusal := r.enterGate(req.Context(), now, c, req.Header.Get(chain.HeaderAlternative) != "")
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+	if req.ContentLength != 0 {
+		defer watchCaller(ctx, cancel).stop()
+	}
+	lc, refusal := r.enterGate(ctx, now, c, req.Header.Get(chain.HeaderAlternative) != "")
 	if refusal != nil {
 		r.refusePeer(w, c, c.Retries, refusal)
 		return
@@ -155,8 +160,8 @@
 	if refusal := r.Gate.Enter(ctx, now, ticket); refusal != nil {
 		return nil, refusal
 	}
-	if ctx.Err() != nil {
-		r.Gate.Abandon(time.Now(), ticket)
+	if admitted := time.Now(); callerLeft(ctx, admitted, now) {
+		r.Gate.Abandon(admitted, ticket)
 		return nil, refuse.New(refuse.DeadlineExceeded, 0, "the caller left before the request ran")
 	}
 	if !r.Crashes.Begin(now, c.Fingerprint, c.Suspect) {
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -156,7 +156,7 @@
 	ran := refuse.NotRun
 	for range maxSends {
 		now := time.Now()
-		if !now.Before(s.deadline) || s.ctx.Err() != nil || reached >= s.call.maxAttempts {
+		if !now.Before(s.deadline) || reached >= s.call.maxAttempts || callerLeft(s.ctx, now, s.received) {
 			break
 		}
 		nodes, none := s.relay.candidates(s.chain.Service, s.regions)
