Ask after the wait at a gate whether the upstream still takes requests

A call that waited could reach an upstream long after it had begun to leave, and one that waited over a new start of the upstream was sent with the ID of the earlier one; the answer 421 then marked the new start as down.

An upstream that drains takes such requests for a second more, as it serves on for two at least; other calls are refused as not run, and go on to another node.

TestUpstreamLeaves failed without the second question (the request reached the upstream), TestUpstreamAcceptsQueued checks when an upstream accepts.

--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -89,7 +89,7 @@
 		case errors.Is(err, ErrUnhealthy):
 			return // its next report wakes the loop
 		case err == nil && found.Draining:
-			n.upstream.MarkLeaving(found.Instance)
+			n.upstream.MarkLeaving(time.Now(), found.Instance)
 			n.publishUpstream()
 			return
 		case err == nil && n.recordHealthy(found):
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -42,6 +42,7 @@
 	current      admin.Announcement
 	deregistered map[string]time.Time // born times of instances, by ID
 	announcedAt  time.Time            // of current, zero for none and after a crash
+	drainingAt   time.Time            // since when current is known to be draining, zero if it is not
 	healthy      upstreamStart        // the last start whose health check succeeded
 }
 
@@ -86,8 +87,14 @@
 		u.gate.Reset(newLimiter(a.Slots))
 	}
 	u.setCold(now, a.Service, a.Cold, !same || absent)
+	if !same {
+		u.drainingAt = time.Time{}
+	}
 	u.current = a
 	u.announcedAt = now
+	if a.Draining {
+		u.markDraining(now)
+	}
 	if u.healthy.instance == a.Instance && u.healthy.born.IsZero() {
 		u.healthy.born = a.Born // the response to the health check did not tell it
 	}
@@ -222,7 +229,7 @@
 // deregister marks an instance that was born at the given time, or earlier, as
 // draining, and makes its later announcements outdated. A zero time means the start
 // in the current announcement.
-func (u *upstream) deregister(instance string, born time.Time) {
+func (u *upstream) deregister(now time.Time, instance string, born time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	current := u.current.Instance == instance
@@ -234,8 +241,36 @@
 	}
 	u.deregistered[instance] = born
 	if current && !u.current.Born.After(born) {
-		u.current.Draining = true
+		u.markDraining(now)
+	}
+}
+
+// markDraining marks the current start as draining. The caller holds the lock.
+func (u *upstream) markDraining(now time.Time) {
+	u.current.Draining = true
+	if u.drainingAt.IsZero() {
+		u.drainingAt = now
+	}
+}
+
+// queuedDrainTime is how long requests that wait at the gate when the upstream begins to
+// drain may still be sent to it. Upstreams serve on for 2 s at least.
+const queuedDrainTime = time.Second
+
+// Accepts implements relay.LocalUpstream.
+func (u *upstream) Accepts(now time.Time, instance string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.current.Instance != instance {
+		return false
+	}
+	switch u.readiness(now) {
+	case member.Ready:
+		return true
+	case member.Draining:
+		return now.Sub(u.drainingAt) < queuedDrainTime
 	}
+	return false
 }
 
 // MarkDown marks the upstream as down: it is absent until it announces itself again.
@@ -248,11 +283,11 @@
 
 // MarkLeaving marks an instance of the upstream as draining, because it has said in a
 // response that it is about to end. It implements relay.LocalUpstream.
-func (u *upstream) MarkLeaving(instance string) {
+func (u *upstream) MarkLeaving(now time.Time, instance string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.current.Instance == instance {
-		u.current.Draining = true
+		u.markDraining(now)
 	}
 }
 
@@ -303,7 +338,7 @@
 // the other nodes. Starts of the instance that were born after the given time are not
 // affected. A zero time means the start that the instance last announced.
 func (n *Node) Deregister(instance string, born time.Time) {
-	n.upstream.deregister(instance, born)
+	n.upstream.deregister(time.Now(), instance, born)
 	n.publishUpstream()
 }
 
--- a/internal/process/node/upstream_test.go
+++ b/internal/process/node/upstream_test.go
@@ -28,14 +28,14 @@
 		}
 	}
 	deregister := func(instance string, bornAt time.Time) func(time.Time) bool {
-		return func(time.Time) bool {
-			u.deregister(instance, bornAt)
+		return func(now time.Time) bool {
+			u.deregister(now, instance, bornAt)
 			return true
 		}
 	}
 	leave := func(instance string) func(time.Time) bool {
-		return func(time.Time) bool {
-			u.MarkLeaving(instance)
+		return func(now time.Time) bool {
+			u.MarkLeaving(now, instance)
 			return true
 		}
 	}
@@ -72,6 +72,41 @@
 	}
 }
 
+// TestUpstreamAcceptsQueued guards against requests that wait for a slot at a start of the
+// upstream and are sent to it after it has left, or to another start in its place.
+func TestUpstreamAcceptsQueued(t *testing.T) {
+	start := time.Unix(1000, 0)
+	u := newUpstream(gates.NewGate(gates.NewGradient()), 10*time.Second, func(string) gates.ColdStart { return gates.ColdStart{} })
+	announce := func(instance string, sequence uint64, draining bool) func(time.Time) {
+		return func(now time.Time) {
+			u.announce(now, admin.Announcement{Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: start, Draining: draining, Instance: instance, Sequence: sequence, Service: "ledger"})
+		}
+	}
+	none := func(time.Time) {}
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		do    func(now time.Time)
+		want  bool
+	}{
+		{"ready", 0, announce("a", 1, false), true},
+		{"begins to drain", time.Second, announce("a", 2, true), true},
+		{"says again that it drains", 1500 * time.Millisecond, announce("a", 3, true), true},
+		{"still serves", time.Second + queuedDrainTime - 1, none, true},
+		{"has drained", time.Second + queuedDrainTime, none, false},
+		{"another start", 4 * time.Second, announce("b", 1, false), false},
+		{"the earlier ID again", 5 * time.Second, announce("a", 4, false), true},
+		{"leaves by its response", 6 * time.Second, func(now time.Time) { u.MarkLeaving(now, "a") }, true},
+		{"deregisters", 6500 * time.Millisecond, func(now time.Time) { u.deregister(now, "a", time.Time{}) }, true},
+		{"has left", 6*time.Second + queuedDrainTime, none, false},
+		{"down", 8 * time.Second, func(time.Time) { u.MarkDown() }, false},
+	} {
+		now := start.Add(c.after)
+		c.do(now)
+		assert.Equal(t, u.Accepts(now, "a"), c.want, c.name)
+	}
+}
+
 // TestUpstreamCold guards against requests at the rate of a warm upstream while the
 // upstream is cold, or may be: after each start, when it says so, and before the catalog
 // tells what cold upstreams take.
--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,12 @@
 type fakeDeps struct {
 	*crash.Table
 	address netip.AddrPort
+	left    *atomic.Bool // the upstream has left
+}
+
+// Accepts implements LocalUpstream.
+func (f fakeDeps) Accepts(time.Time, string) bool {
+	return !f.left.Load()
 }
 
 // Admit implements Admitter.
@@ -49,7 +56,7 @@
 func (fakeDeps) MarkDown() {}
 
 // MarkLeaving implements LocalUpstream.
-func (fakeDeps) MarkLeaving(string) {}
+func (fakeDeps) MarkLeaving(time.Time, string) {}
 
 // ReportCrash implements CrashDetector.
 func (fakeDeps) ReportCrash(time.Time) {}
@@ -106,7 +113,7 @@
 	assert.NilError(tb, err)
 	table := member.NewTable(time.Now(), member.Record{Peers: self, Readiness: member.Absent, Zone: "zone"})
 	table.Merge(time.Now(), members)
-	f := fakeDeps{Table: crash.NewTable(), address: upstream}
+	f := fakeDeps{Table: crash.NewTable(), address: upstream, left: &atomic.Bool{}}
 	return New(Options{
 		Admitter: f, Claimer: f, Config: config, Crashes: f, FirstByte: time.Minute, Gate: gates.NewGate(gates.Static(100)),
 		Idle: time.Minute, InFlight: 1000, Local: f, Pool: pool.New(), Secret: secret, Self: self, Stats: stats.New(),
--- a/internal/request/relay/left_test.go
+++ b/internal/request/relay/left_test.go
@@ -170,3 +170,19 @@
 		close(a.granted)
 	}
 }
+
+// TestUpstreamLeaves guards against a request that waits for a slot at an upstream and is
+// sent to it after it has left.
+func TestUpstreamLeaves(t *testing.T) {
+	c, caller := newLeftCase(t, func(r *Relay) http.HandlerFunc { return r.ServePeer })
+	turn := c.waitingAt(t, "gate")
+	_, err := io.WriteString(caller, c.request(t, "length"))
+	assert.NilError(t, err)
+	turn.await(true)
+	time.Sleep(2 * minCallerWait)
+	c.relay.Local.(fakeDeps).left.Store(true)
+	turn.grant()
+	<-c.handled
+	assert.Equal(t, c.arrived.Load(), int64(0), "requests at the upstream that has left")
+	assert.NilError(t, caller.Close())
+}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -164,6 +164,10 @@
 		r.Gate.Abandon(admitted, ticket)
 		return nil, refuse.New(refuse.DeadlineExceeded, 0, "the caller left before the request ran")
 	}
+	if admitted := time.Now(); admitted.Sub(now) >= minCallerWait && !r.Local.Accepts(admitted, instance) {
+		r.Gate.Abandon(admitted, ticket)
+		return nil, refuse.New(refuse.NoUpstream, defaultRetryAfter, "the upstream left while the request waited")
+	}
 	if !r.Crashes.Begin(now, c.Fingerprint, c.Suspect) {
 		r.Gate.Abandon(time.Now(), ticket)
 		return nil, refuse.New(refuse.Overloaded, suspectRetryAfter, "another request that may crash the upstream runs there")
@@ -254,7 +258,7 @@
 			lc.logMaxRate(now, info.MaxRate)
 		}
 		if info.Leaving {
-			lc.relay.Local.MarkLeaving(lc.instance)
+			lc.relay.Local.MarkLeaving(time.Now(), lc.instance)
 		}
 	}
 	return response, info, err
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -87,11 +87,15 @@
 // LocalUpstream gives access to the local upstream, which is the one beside the
 // node.
 type LocalUpstream interface {
+	// Accepts reports whether a request that has waited for a slot at an instance of the
+	// upstream may still be sent to it. An instance that leaves takes such requests for a
+	// short time.
+	Accepts(now time.Time, instance string) bool
 	// MarkDown marks the upstream as down until it announces itself again.
 	MarkDown()
 	// MarkLeaving marks an instance of the upstream as about to end. It takes no new
 	// requests.
-	MarkLeaving(instance string)
+	MarkLeaving(now time.Time, instance string)
 	// Upstream returns the address of the upstream and the ID of its instance,
 	// or false if it does not accept requests for the service.
 	Upstream(service string) (address netip.AddrPort, instance string, ok bool)
