Close idle connections to a node where a call waits on in silence

A call that may run only once waits on when its node is silent for 1.2 s. Its idle connections to that node, which have the same age, were kept meanwhile, so the next calls went silent too. They are closed as soon as one is silent.

TestPoolClosesSilentConnectionsWhileWaiting failed before: the second call got another silent connection.

--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -68,10 +68,15 @@
 	return nil, errors.New("too many interim answers")
 }
 
-// awaitResponse waits for the first byte of a response.
+// awaitResponse waits for the first byte of a response. If none comes within the time limit,
+// idle connections to the same address may not work either, and are closed.
 func (e *exchange) awaitResponse() error {
 	_, err := e.conn.reader.Peek(1)
-	if !errors.Is(err, os.ErrDeadlineExceeded) || e.call.OnSilence == nil || !e.call.OnSilence() {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	e.pool.closeIdle(e.call.To)
+	if e.call.OnSilence == nil || !e.call.OnSilence() {
 		return err
 	}
 	if err := e.conn.SetReadDeadline(e.call.Deadline); err != nil {
--- a/internal/conn/pool/pool_test.go
+++ b/internal/conn/pool/pool_test.go
@@ -207,6 +207,44 @@
 	assert.Equal(t, readAll(t, response), "ok\n")
 }
 
+// TestPoolClosesSilentConnectionsWhileWaiting guards against calls that are sent on
+// connections of the same age as one on which another call waits on, because it may run
+// only once.
+func TestPoolClosesSilentConnectionsWhileWaiting(t *testing.T) {
+	s := newServer(t, ok)
+	p := New()
+	var open []*http.Response
+	for range 3 {
+		response, err := p.Do(t.Context(), s.call(http.MethodGet, nil))
+		assert.NilError(t, err)
+		open = append(open, response)
+	}
+	for _, response := range open {
+		assert.Equal(t, readAll(t, response), "ok\n")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	silent, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		call := s.call(http.MethodPost, nil)
+		call.HeaderTimeout = 100 * time.Millisecond
+		call.OnSilence = func() bool {
+			close(silent)
+			return true
+		}
+		_, err := p.Do(ctx, call)
+		assert.Check(t, err != nil)
+	}()
+	<-silent
+	call := s.call(http.MethodPost, nil)
+	call.HeaderTimeout = 100 * time.Millisecond
+	response, err := p.Do(t.Context(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, readAll(t, response), "ok\n")
+	cancel()
+	<-ended
+}
+
 // TestPoolLowersIdleLimit simulates a server that drops idle connections: the
 // first call on a stale connection fails, and later ones only reuse connections
 // that were idle for less time. Calls that must not be sent twice set
