Replace links between nodes that go silent

Callers were refused with RateUnavailable.

Cause: a call that got no answer ended by its own time limit and left its link as it was, so the next one took the same dead link, until the kernel gave the connection up. Candidates took two such answers missing for the end of an allocator's holder and took over in a circle.

Ruled out: hosts, upstreams and the store, which were well; pings, which do replace a link, but only those to ring neighbours.

Change: a request without an answer retires its link if nothing at all is read on it for 0.3 s, or by its end after 0.1 s; the next one gets a new link. A message without an answer is followed by a WebSocket ping if nothing was read lately. Links younger than a second are kept, and requests for the same node share one dial.

--- a/internal/conn/links/link.go
+++ b/internal/conn/links/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
@@ -12,24 +13,44 @@
 	"github.com/wasabibend/wasabibend/internal/process/guard"
 )
 
+// Times after which a link counts as silent.
+const (
+	// silentAfter is how long a request waits for its answer, without any frame on the
+	// link, until further requests are sent on a new link.
+	silentAfter = 300 * time.Millisecond
+	// minSilence is the same for a request that ends sooner.
+	minSilence = 100 * time.Millisecond
+	// minLinkAge is the age from which a link is replaced. It limits how often a node opens
+	// links to a peer that is slow or does not run.
+	minLinkAge = time.Second
+	// retiredTime is how long a link that was replaced is kept for answers that may still
+	// come.
+	retiredTime = 5 * time.Second
+)
+
 // link is a WebSocket connection to another node, the peer. The node that opened
 // it sends requests on it, and the other node answers them.
 type link struct {
-	cancel context.CancelFunc
-	conn   *websocket.Conn
-	ctx    context.Context
-	mesh   *Mesh
-	peer   netip.AddrPort
+	cancel   context.CancelFunc
+	conn     *websocket.Conn
+	ctx      context.Context
+	mesh     *Mesh
+	openedAt time.Time
+	peer     netip.AddrPort
 
 	mu      sync.Mutex
 	lastID  uint64
 	pending map[uint64]chan wire.Frame // by request ID, for requests that await an answer
+	probing bool                       // probe is running
+	readAt  time.Time                  // when the last frame was read
+	retired bool
 }
 
 func newLink(m *Mesh, peer netip.AddrPort, conn *websocket.Conn) *link {
 	ctx, cancel := context.WithCancel(m.ctx)
 	conn.SetReadLimit(maxFrame)
-	return &link{cancel: cancel, conn: conn, ctx: ctx, mesh: m, peer: peer, pending: make(map[uint64]chan wire.Frame)}
+	now := time.Now()
+	return &link{cancel: cancel, conn: conn, ctx: ctx, mesh: m, openedAt: now, peer: peer, pending: make(map[uint64]chan wire.Frame), readAt: now}
 }
 
 func (l *link) closed() bool {
@@ -43,8 +64,52 @@
 	l.mesh.remove(l)
 }
 
+// retireIfSilent removes the link from the mesh, so that further requests are sent on a new
+// one, if no frame has been read on it since a time. The connection may be silent for good
+// although new ones work.
+func (l *link) retireIfSilent(now, since time.Time) {
+	l.mu.Lock()
+	silent := !l.retired && !l.readAt.After(since) && now.Sub(l.openedAt) >= minLinkAge
+	l.retired = l.retired || silent
+	l.mu.Unlock()
+	if !silent {
+		return
+	}
+	l.mesh.countRetired(l)
+	l.mesh.remove(l)
+	time.AfterFunc(retiredTime, l.close)
+}
+
+// sentUnanswered is called after a message without an answer was sent. If nothing has been
+// read lately either, it checks in the background whether the peer answers a WebSocket ping.
+func (l *link) sentUnanswered(now time.Time) {
+	l.mu.Lock()
+	due := !l.probing && now.Sub(l.readAt) >= minLinkAge
+	l.probing = l.probing || due
+	l.mu.Unlock()
+	if due {
+		l.mesh.workers.Go(func() { l.probe(now) })
+	}
+}
+
+// probe sends a WebSocket ping and retires the link if no answer comes.
+func (l *link) probe(now time.Time) {
+	ctx, cancel := context.WithTimeout(l.ctx, silentAfter)
+	defer cancel()
+	err := l.conn.Ping(ctx)
+	l.mu.Lock()
+	l.probing = false
+	if err == nil {
+		l.readAt = time.Now()
+	}
+	l.mu.Unlock()
+	if err != nil {
+		l.retireIfSilent(time.Now(), now)
+	}
+}
+
 // call sends a request and waits for its answer, until the context or the link
-// ends.
+// ends. If nothing comes on the link in the meantime, it retires the link.
 func (l *link) call(ctx context.Context, frame wire.Frame) (wire.Frame, error) {
 	answer := make(chan wire.Frame, 1)
 	l.mu.Lock()
@@ -53,16 +118,26 @@
 	l.pending[frame.ID] = answer
 	l.mu.Unlock()
 	defer l.dropPending(frame.ID)
+	sent := time.Now()
 	if err := l.send(ctx, frame); err != nil {
 		return wire.Frame{}, trace.Wrap(err)
 	}
-	select {
-	case <-ctx.Done():
-		return wire.Frame{}, trace.Wrap(ctx.Err())
-	case <-l.ctx.Done():
-		return wire.Frame{}, trace.ConnectionProblem(nil, "the link to %v was closed before the answer came", l.peer)
-	case frame = <-answer:
-		return frame, nil
+	silence := time.NewTimer(silentAfter)
+	defer silence.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			if now := time.Now(); now.Sub(sent) >= minSilence {
+				l.retireIfSilent(now, sent)
+			}
+			return wire.Frame{}, trace.Wrap(ctx.Err())
+		case <-l.ctx.Done():
+			return wire.Frame{}, trace.ConnectionProblem(nil, "the link to %v was closed before the answer came", l.peer)
+		case frame = <-answer:
+			return frame, nil
+		case now := <-silence.C:
+			l.retireIfSilent(now, sent)
+		}
 	}
 }
 
@@ -99,6 +174,7 @@
 		if err != nil {
 			return
 		}
+		l.recordRead(time.Now())
 		l.mesh.traffic.BytesIn.Add(int64(len(data)))
 		l.mesh.traffic.FramesIn.Add(1)
 		var frame wire.Frame
@@ -115,6 +191,13 @@
 	}
 }
 
+// recordRead records that a frame was read.
+func (l *link) recordRead(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readAt = now
+}
+
 // deliver passes an answer to the call that waits for it. If that call has
 // returned already, as after the end of its context, the answer is dropped.
 func (l *link) deliver(frame wire.Frame) {
--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -48,9 +48,10 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Traffic counts the frames on all links, and their bytes.
+// Traffic counts the frames on all links, their bytes, and the links that were replaced
+// because they were silent.
 type Traffic struct {
-	BytesIn, BytesOut, FramesIn, FramesOut atomic.Int64
+	BytesIn, BytesOut, FramesIn, FramesOut, SilentLinks atomic.Int64
 }
 
 // Mesh manages the links of a node. A node sends its requests only on links that
@@ -74,6 +75,7 @@
 	mu       sync.Mutex
 	accepted int                      // links that other nodes opened
 	links    map[netip.AddrPort]*link // links that this node opened
+	opening  map[netip.AddrPort]chan struct{}
 }
 
 // Option configures a Mesh in NewMesh.
@@ -110,6 +112,7 @@
 		handlers:     make(map[wire.Kind]Handler),
 		links:        make(map[netip.AddrPort]*link),
 		log:          zerolog.Nop(),
+		opening:      make(map[netip.AddrPort]chan struct{}),
 		secret:       secret,
 		self:         self,
 		slowSlots:    make(chan struct{}, maxSlowRequests),
@@ -184,7 +187,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(l.send(ctx, wire.Frame{Kind: kind, Body: body}))
+	if err := l.send(ctx, wire.Frame{Kind: kind, Body: body}); err != nil {
+		return trace.Wrap(err)
+	}
+	l.sentUnanswered(time.Now())
+	return nil
 }
 
 // Reset closes the node's own link to another node, if there is one. The next
@@ -232,42 +239,75 @@
 	return m.accepted <= maxLinks
 }
 
-// open returns the open link to a node, or else a new one.
+// open returns the open link to a node, or else a new one. Requests that need a link to the
+// same node at the same time wait for one of them to open it.
 func (m *Mesh) open(ctx context.Context, to netip.AddrPort) (*link, error) {
-	if l := m.lookup(to); l != nil {
-		return l, nil
+	for {
+		l, opening, mine := m.lookupOrBegin(to)
+		if l != nil {
+			return l, nil
+		}
+		if mine {
+			defer m.endOpening(to, opening)
+			return m.openNew(ctx, to)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, trace.ConnectionProblem(ctx.Err(), "cannot open a link to %v", to)
+		case <-opening:
+		}
+	}
+}
+
+// lookupOrBegin returns the open link to a node. If there is none, it returns the channel
+// that is closed when the opening of one ends, and whether the caller must open it.
+func (m *Mesh) lookupOrBegin(to netip.AddrPort) (l *link, opening chan struct{}, mine bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[to]; l != nil && !l.closed() {
+		return l, nil, false
 	}
+	if opening := m.opening[to]; opening != nil {
+		return nil, opening, false
+	}
+	opening = make(chan struct{})
+	m.opening[to] = opening
+	return nil, opening, true
+}
+
+// endOpening wakes the requests that wait for the opening of a link.
+func (m *Mesh) endOpening(to netip.AddrPort, opening chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.opening, to)
+	close(opening)
+}
+
+// openNew opens a link to a node.
+func (m *Mesh) openNew(ctx context.Context, to netip.AddrPort) (*link, error) {
 	conn, err := m.dial(ctx, to)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	l := newLink(m, to, conn)
-	switch registered := m.register(l); {
-	case registered == nil:
+	if !m.register(l) {
 		l.close()
 		return nil, ErrClosed
-	case registered != l:
-		l.close()
-		return registered, nil
 	}
 	return l, nil
 }
 
-// register stores a new link, starts to read it and returns it. If another call
-// has opened a link to the node meanwhile, it returns that one instead. It
-// returns nil if the mesh is closed.
-func (m *Mesh) register(l *link) *link {
+// register stores a new link and starts to read it. It returns false if the mesh is
+// closed.
+func (m *Mesh) register(l *link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ctx.Err() != nil {
-		return nil
-	}
-	if other := m.links[l.peer]; other != nil && !other.closed() {
-		return other
+		return false
 	}
 	m.links[l.peer] = l
 	m.workers.Go(l.read)
-	return l
+	return true
 }
 
 // lookup returns the open link to a node, or nil if there is none.
@@ -295,7 +335,13 @@
 	return conn, nil
 }
 
-// remove removes a closed link, unless it has been replaced.
+// countRetired counts and logs a link that is replaced because it is silent.
+func (m *Mesh) countRetired(l *link) {
+	m.traffic.SilentLinks.Add(1)
+	m.log.Info().Stringer("Peer", l.peer).Msg("replacing a silent link")
+}
+
+// remove removes a link that is closed or retired, unless it has been replaced.
 func (m *Mesh) remove(l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -49,6 +49,7 @@
 	control.Add("FramesIn", traffic.FramesIn.Load())
 	control.Add("FramesOut", traffic.FramesOut.Load())
 	control.Add("Links", int64(n.mesh.Links()))
+	control.Add("SilentLinks", traffic.SilentLinks.Load())
 	all.Set("Control", control)
 	all.Set("StoreCalls", n.store.Calls())
 	return all
