Send the digest of the shared state in answers to pings only

The receiver of a ping does not compare it, so each ping and its answer had it twice, 8 bytes in calm. TestQuarantine passes as before; it holds the exchange with this change.

--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -429,14 +429,12 @@
 			p.Feeds[i].Age = age
 		}
 	}
-	if a.shared != nil {
-		p.Shared = a.shared.Digest(now)
-	}
 	return p
 }
 
-// handlePing answers with the state of the node's tables. If a feed of the sender is
-// newer, it schedules a pull from the sender.
+// handlePing answers with the state of the node's tables, and with the digest of the shared
+// state, which only the sender compares. If a feed of the sender is newer, it schedules a
+// pull from the sender.
 func (a *Agent) handlePing(from netip.AddrPort, body []byte) (any, error) {
 	var ping Ping
 	if err := wire.Decode(body, &ping); err != nil {
@@ -448,7 +446,11 @@
 			a.enqueue(from, nil)
 		}
 	}
-	return a.newPing(now), nil
+	answer := a.newPing(now)
+	if a.shared != nil {
+		answer.Shared = a.shared.Digest(now)
+	}
+	return answer, nil
 }
 
 // handleNews merges the records and schedules those that were new to be forwarded to
--- a/internal/process/member/messages.go
+++ b/internal/process/member/messages.go
@@ -22,7 +22,8 @@
 	// Feeds are the states of the sender's feeds. All nodes have the same feeds
 	// in the same order.
 	Feeds []FeedState
-	// Shared is the digest of the sender's Shared state, 0 if it has none.
+	// Shared is the digest of the sender's Shared state. It is 0 in a request, and in the
+	// answer of a node without such state.
 	Shared uint64 `cbor:",omitempty"`
 }
 
