Compare the starts of an upstream by their times

The time of a start was compared with ==, which also compares the location and would tell equal times apart that were decoded in different ways. Reports are all decoded in one way, so nothing was seen to go wrong; TestDepartures and TestUpstream pass as before.

--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -124,8 +124,10 @@
 // isHealthy reports whether the current start needs no health check or has passed one. The
 // caller holds the lock.
 func (u *upstream) isHealthy() bool {
-	current := upstreamStart{born: u.current.Born, instance: u.current.Instance}
-	return !u.checked || current.instance == "" || u.healthy == current
+	if !u.checked || u.current.Instance == "" {
+		return true
+	}
+	return u.healthy.instance == u.current.Instance && u.healthy.born.Equal(u.current.Born)
 }
 
 // announcement returns the last announcement.
