--- a/internal/conn/pool/pool_test.go
+++ b/internal/conn/pool/pool_test.go
@@ -181,12 +181,9 @@
 	}
 }
 
-// TestPoolClosesSilentConnections makes all idle connections go silent while new
-// ones work. After one call timed out on such a connection, the next call must
-// get a new one.
-func TestPoolClosesSilentConnections(t *testing.T) {
-	s := newServer(t, ok)
-	p := New()
+// openIdle makes a pool keep three idle connections to the server.
+func (s *server) openIdle(t *testing.T, p *Pool) {
+	t.Helper()
 	var open []*http.Response
 	for range 3 {
 		response, err := p.Do(t.Context(), s.call(http.MethodGet, nil))
@@ -196,6 +193,15 @@
 	for _, response := range open {
 		assert.Equal(t, readAll(t, response), "ok\n")
 	}
+}
+
+// TestPoolClosesSilentConnections makes all idle connections go silent while new
+// ones work. After one call timed out on such a connection, the next call must
+// get a new one.
+func TestPoolClosesSilentConnections(t *testing.T) {
+	s := newServer(t, ok)
+	p := New()
+	s.openIdle(t, p)
 	call := s.call(http.MethodGet, nil)
 	call.HeaderTimeout = 100 * time.Millisecond
 	_, err := p.Do(t.Context(), call)
@@ -213,15 +219,7 @@
 func TestPoolClosesSilentConnectionsWhileWaiting(t *testing.T) {
 	s := newServer(t, ok)
 	p := New()
-	var open []*http.Response
-	for range 3 {
-		response, err := p.Do(t.Context(), s.call(http.MethodGet, nil))
-		assert.NilError(t, err)
-		open = append(open, response)
-	}
-	for _, response := range open {
-		assert.Equal(t, readAll(t, response), "ok\n")
-	}
+	s.openIdle(t, p)
 	ctx, cancel := context.WithCancel(t.Context())
 	silent, ended := make(chan struct{}), make(chan struct{})
 	go func() {
