Make two tests free of data races

go test -race: TestDepartures counted probes without a lock, and TestQuarantine replaced a table of a node that was running already. What they check stays; a node that stood still now goes on with its table from its start, and must learn of the quarantine by its pings.

--- a/internal/process/crash/agent_test.go
+++ b/internal/process/crash/agent_test.go
@@ -84,14 +84,23 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i%250 + 1)}), 8001)
 }
 
-// start starts a node, which joins at the one before it.
+// start starts a node that knows nothing and joins at the one before it.
 func (f *crashFleet) start(t *testing.T, i int) {
+	f.startWith(t, i, nil)
+}
+
+// startWith starts a node. If known is not nil, the node goes on with it, as one does that
+// has been running before.
+func (f *crashFleet) startWith(t *testing.T, i int, known *Table) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	f.cancels[i] = cancel
 	endpoint := f.net.AddNode(address(i))
 	table := member.NewTable(time.Now(), member.Record{Peers: address(i), Readiness: member.Ready, Service: "ledger", Zone: fmt.Sprintf("zone%d", i%3)})
 	members := member.NewAgent(endpoint, table, zerolog.Nop())
 	f.nodes[i] = NewAgent(endpoint, table, zerolog.Nop())
+	if known != nil {
+		f.nodes[i].Table, f.nodes[i].exchanged = known, true
+	}
 	if f.older && i%2 == 1 {
 		// Nodes that do not know the kind of message answer with an error.
 		endpoint.Handle(wire.KindCrashes, nil)
@@ -147,10 +156,9 @@
 
 // resume lets a node that stood still go on with what it knew.
 func (f *crashFleet) resume(t *testing.T, i int) {
-	before := f.nodes[i].Table
-	assert.Check(t, before.QuarantineLeft(time.Now(), guilty) == 0)
-	f.start(t, i)
-	f.nodes[i].Table = before
+	known := f.nodes[i].Table
+	assert.Check(t, known.QuarantineLeft(time.Now(), guilty) == 0)
+	f.startWith(t, i, known)
 }
 
 // roll restarts all nodes in turn. Each must know the quarantined request when it has
--- a/internal/process/node/health_test.go
+++ b/internal/process/node/health_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 // departure is the state of a case: the upstream beside a node that has just started.
 type departure struct {
 	health []string // text at even positions, after the time from which it holds
-	probes int
+	probes atomic.Int64
 	start  time.Time
 }
 
@@ -62,9 +63,9 @@
 	_, readiness := n.upstream.state(time.Now())
 	assert.Equal(t, readiness.String(), record[4])
 	assert.Equal(t, n.table.Self().Readiness.String(), record[4])
-	maxProbes, err := strconv.Atoi(record[5])
+	maxProbes, err := strconv.ParseInt(record[5], 10, 64)
 	assert.NilError(t, err)
-	assert.Check(t, d.probes <= maxProbes, "%d probes, want at most %d", d.probes, maxProbes)
+	assert.Check(t, d.probes.Load() <= maxProbes, "%d probes, want at most %d", d.probes.Load(), maxProbes)
 }
 
 // newCheckedNode returns a Node with a catalog and an upstream whose health checks d
@@ -86,7 +87,7 @@
 
 // probe implements Probe.
 func (d *departure) probe(ctx context.Context, settings *setup.Settings, _ string) (admin.Announcement, error) {
-	d.probes++
+	d.probes.Add(1)
 	state := ""
 	for i := 0; i < len(d.health); i += 2 {
 		from, err := time.ParseDuration(d.health[i])
