Log requests whose callers have left as such

A request whose caller had left while it waited for its customer's rate was logged as refused because no upstream takes requests of its service. It is refused now with the cause and the text that the gate uses. TestCallerLeaves passes as before; nothing that a caller sees changes, as none is there.

--- a/internal/request/relay/caller.go
+++ b/internal/request/relay/caller.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wasabibend/wasabibend/pkg/refuse"
 )
 
 // connKey is the context key of a caller's connection.
@@ -38,6 +40,11 @@
 	return ctx.Err() != nil || now.Sub(since) >= minCallerWait && callerClosed(ctx)
 }
 
+// callerLeftRefusal returns the refusal of a request whose caller has left.
+func callerLeftRefusal() *refuse.Refusal {
+	return refuse.New(refuse.DeadlineExceeded, 0, "the caller left before the request ran")
+}
+
 // callerWatch cancels a request when its caller closes the connection. No other
 // lock is acquired while its lock is held.
 type callerWatch struct {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -162,7 +162,7 @@
 	}
 	if admitted := time.Now(); callerLeft(ctx, admitted, now) {
 		r.Gate.Abandon(admitted, ticket)
-		return nil, refuse.New(refuse.DeadlineExceeded, 0, "the caller left before the request ran")
+		return nil, callerLeftRefusal()
 	}
 	if admitted := time.Now(); admitted.Sub(now) >= minCallerWait && !r.Local.Accepts(admitted, instance) {
 		r.Gate.Abandon(admitted, ticket)
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -156,7 +156,11 @@
 	ran := refuse.NotRun
 	for range maxSends {
 		now := time.Now()
-		if !now.Before(s.deadline) || reached >= s.call.maxAttempts || callerLeft(s.ctx, now, s.received) {
+		if !now.Before(s.deadline) || reached >= s.call.maxAttempts {
+			break
+		}
+		if callerLeft(s.ctx, now, s.received) {
+			last = callerLeftRefusal()
 			break
 		}
 		nodes, none := s.relay.candidates(s.chain.Service, s.regions)
