Say what the test of silent links shows for a slow peer

The comment claimed that the link of a slow peer is not replaced. It is, once a second at most, which the case bounds.

--- a/internal/conn/links/silent_test.go
+++ b/internal/conn/links/silent_test.go
@@ -19,8 +19,8 @@
 )
 
 // TestSilentLinks runs the cases of testdata/silent.csv in virtual time. It guards against
-// a link that is used on although it has gone silent for good, and against links that are
-// replaced although the peer is only slow.
+// a link that is used on although it has gone silent for good, and against more than one new
+// link a second to a peer that is only slow.
 func TestSilentLinks(t *testing.T) {
 	steps.Cases(t, "testdata/silent.csv", func(t *testing.T, record []string) {
 		t.Parallel()
