--- a/internal/cmds/soak/testbed.go
+++ b/internal/cmds/soak/testbed.go
@@ -41,18 +41,12 @@
 // proxies.
 type testbed struct {
 	fleet     *procs.Fleet
-	proxies   []*hostProxies  // by host
-	hostLocks []chan struct{} // by host; each serializes the faults of the host's processes
+	proxies   []*procs.HostProxies // by host
+	hostLocks []chan struct{}      // by host; each serializes the faults of the host's processes
 	dir       string
 	store     *procs.Process // the platform's stand-in
 }
 
-// hostProxies are the proxies to a host's listener for peers, to its upstream, and
-// from the host to the store.
-type hostProxies struct {
-	peers, server, store *proxy.Proxy
-}
-
 // startTestbed creates a fleet of a number of hosts and starts its proxies, but not
 // its processes. The proxies run until the context ends; close ends the processes.
 func startTestbed(ctx context.Context, dir string, hosts int, programPath func(string) (string, error)) (*testbed, error) {
@@ -76,21 +70,11 @@
 		return nil, trace.Wrap(err)
 	}
 	b.store = b.fleet.Platform
-	for _, host := range b.fleet.Hosts {
+	for range b.fleet.Hosts {
 		b.hostLocks = append(b.hostLocks, make(chan struct{}, 1))
-		p := &hostProxies{}
-		addresses := host.ProxyAddresses()
-		for _, f := range []struct {
-			proxy    **proxy.Proxy
-			from, to netip.AddrPort
-		}{{&p.peers, addresses.Peers, host.Peers()}, {&p.server, addresses.Server, host.Server()}, {&p.store, addresses.Platform, b.fleet.PlatformAddress()}} {
-			if *f.proxy, err = proxy.Listen(ctx, f.from, f.to); err != nil {
-				return nil, trace.Wrap(err)
-			}
-		}
-		b.proxies = append(b.proxies, p)
 	}
-	return b, nil
+	b.proxies, err = b.fleet.StartProxies(ctx)
+	return b, trace.Wrap(err)
 }
 
 // journalPath returns the file to which a host's upstream writes the requests that
@@ -165,21 +149,19 @@
 	case KillNode, PauseNode, StopHost, StopNode, KillUpstream, LeaveUpstream:
 		return b.injectProcessFault(ctx, e, host)
 	case DelayNode:
-		injectConnectionFault(p.peers, proxy.Fault{Delay: 20 * time.Millisecond})
+		injectConnectionFault(p.Peers, proxy.Fault{Delay: 20 * time.Millisecond})
 	case ResetNode:
-		injectConnectionFault(p.peers, proxy.Fault{Reset: true})
+		injectConnectionFault(p.Peers, proxy.Fault{Reset: true})
 	case SilenceToNode:
-		injectConnectionFault(p.peers, proxy.Fault{StallToTarget: true})
+		injectConnectionFault(p.Peers, proxy.Fault{StallToTarget: true})
 	case SilenceNode:
-		injectConnectionFault(p.peers, proxy.Fault{StallFromTarget: true, StallToTarget: true})
+		injectConnectionFault(p.Peers, proxy.Fault{StallFromTarget: true, StallToTarget: true})
 	case ForgetAll:
-		p.peers.StallOpenConns()
-		p.server.StallOpenConns()
-		p.store.StallOpenConns()
+		p.StallOpenConns()
 	case CutZone:
 		b.cutZone(e)
 	case CutStore:
-		injectConnectionFault(p.store, proxy.Fault{StallFromTarget: true, StallToTarget: true})
+		injectConnectionFault(p.Store, proxy.Fault{StallFromTarget: true, StallToTarget: true})
 	case StoreDown:
 		return b.injectStoreFault(ctx, e, objapi.Faults{Down: true})
 	case StoreForgets:
@@ -234,7 +216,7 @@
 		process.Kill()
 	}
 	if e.Fault == StopHost {
-		peers := b.proxies[e.Host].peers
+		peers := b.proxies[e.Host].Peers
 		peers.SetFault(netip.Addr{}, proxy.Fault{StallFromTarget: true, StallToTarget: true})
 		defer peers.SetFault(netip.Addr{}, proxy.Fault{})
 		time.Sleep(e.Duration)
@@ -247,21 +229,9 @@
 // other hosts, and those between the zone and the store, for the duration of the
 // event.
 func (b *testbed) cutZone(e Event) {
-	set := func(fault proxy.Fault) {
-		for i, to := range b.fleet.Hosts {
-			for _, from := range b.fleet.Hosts {
-				if from.Zone != to.Zone && (from.Zone == zones[e.Zone] || to.Zone == zones[e.Zone]) {
-					b.proxies[i].peers.SetFault(from.IP(), fault)
-				}
-			}
-			if to.Zone == zones[e.Zone] {
-				b.proxies[i].store.SetFault(netip.Addr{}, fault)
-			}
-		}
-	}
-	set(proxy.Fault{StallFromTarget: true, StallToTarget: true})
+	b.fleet.CutZone(b.proxies, zones[e.Zone], true)
 	time.Sleep(e.Duration)
-	set(proxy.Fault{})
+	b.fleet.CutZone(b.proxies, zones[e.Zone], false)
 }
 
 // injectStoreFault applies faults to the store for the duration of an event.
--- a/internal/fakes/proxy/proxy.go
+++ b/internal/fakes/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -19,7 +20,7 @@
 
 // Fault is a fault of connections. The zero value forwards them unchanged.
 type Fault struct {
-	// Delay is added to each block of bytes, in both directions.
+	// Delay is how much longer bytes take, in both directions.
 	Delay time.Duration
 	// Reset resets open connections and each new one.
 	Reset bool
@@ -151,7 +152,7 @@
 // both directions until both have ended.
 func (p *Proxy) serve(ctx context.Context, c *conn) {
 	defer c.client.Close()
-	if err := p.await(ctx, c, func(f Fault) bool { return f.StallToTarget }); err != nil {
+	if err := p.await(ctx, c, time.Now(), func(f Fault) bool { return f.StallToTarget }); err != nil {
 		c.reset()
 		return
 	}
@@ -176,28 +177,59 @@
 	directions.Wait()
 }
 
+// maxBlocks is the maximum number of blocks that wait for their delay, in one direction of
+// a connection.
+const maxBlocks = 256
+
+// block is what one read of a connection returned.
+type block struct {
+	data   []byte
+	err    error
+	readAt time.Time
+}
+
 // forward copies bytes in one direction until the sender ends it. An error resets the
 // connection. stalls reports whether a fault holds back this direction.
 func (p *Proxy) forward(ctx context.Context, c *conn, to, from *net.TCPConn, stalls func(Fault) bool) {
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if waitErr := p.await(ctx, c, stalls); waitErr != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	blocks := make(chan block, maxBlocks)
+	var reader conc.WaitGroup
+	defer reader.Wait()
+	defer cancel()
+	reader.Go(func() { readBlocks(ctx, from, blocks) })
+	for b := range blocks {
+		if err := p.await(ctx, c, b.readAt, stalls); err != nil {
 			c.reset()
 			return
 		}
-		if n > 0 {
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+		if len(b.data) > 0 {
+			if _, err := to.Write(b.data); err != nil {
 				c.reset()
 				return
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(b.err, io.EOF):
 			_ = to.CloseWrite()
-			return
-		case err != nil:
+		case b.err != nil:
 			c.reset()
+		}
+	}
+}
+
+// readBlocks reads from a connection into a channel until a read fails or the context
+// ends, and closes the channel. The last block has the error of the read.
+func readBlocks(ctx context.Context, from *net.TCPConn, blocks chan<- block) {
+	defer close(blocks)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-ctx.Done():
+			return
+		case blocks <- block{data: bytes.Clone(buffer[:n]), err: err, readAt: time.Now()}:
+		}
+		if err != nil {
 			return
 		}
 	}
@@ -206,16 +238,16 @@
 // errReset is returned by await if the fault resets the connection.
 var errReset = errors.New("the fault resets the connection")
 
-// await waits for as long as the fault holds back bytes, and then for its delay. It
-// returns errReset, or the context's error if that ends first.
-func (p *Proxy) await(ctx context.Context, c *conn, stalls func(Fault) bool) error {
+// await waits for as long as the fault holds back bytes, and until its delay has passed
+// since readAt. It returns errReset, or the context's error if that ends first.
+func (p *Proxy) await(ctx context.Context, c *conn, readAt time.Time, stalls func(Fault) bool) error {
 	for {
 		fault, changed := p.faultOf(c)
 		switch {
 		case fault.Reset:
 			return errReset
 		case !stalls(fault):
-			return pause.For(ctx, fault.Delay)
+			return pause.For(ctx, time.Until(readAt.Add(fault.Delay)))
 		}
 		select {
 		case <-ctx.Done():
