Tell how each question for tokens ended

RateUnavailable said only that an allocator did not answer. The refusal's Detail now names the zones with the outcome, and Tokens in the metrics counts all questions by outcome. No decision changes.

--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// metrics returns the counters of requests, of the traffic between nodes and of the
-// calls to the platform's store.
+// metrics returns the counters of requests, of the traffic between nodes, of the questions
+// for tokens and of the calls to the platform's store.
 func (n *Node) metrics() *expvar.Map {
 	all := new(expvar.Map).Init()
 	all.Set("Requests", n.stats.Var())
@@ -51,6 +51,7 @@
 	control.Add("Links", int64(n.mesh.Links()))
 	control.Add("SilentLinks", traffic.SilentLinks.Load())
 	all.Set("Control", control)
+	all.Set("Tokens", n.quota.Asks())
 	all.Set("StoreCalls", n.store.Calls())
 	return all
 }
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"expvar"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +83,7 @@
 // the shards whose allocators the node holds.
 type Client struct {
 	Options
+	asks   *expvar.Map // Asks, by outcome
 	leases []*Lease // by shard
 	cache  *Cache
 	// createAfter is the time, by shard, before which the node does not create the
@@ -93,7 +97,7 @@
 
 // NewClient returns a Client and registers its message handlers on the mesh.
 func NewClient(now time.Time, options Options) *Client {
-	c := &Client{Options: options, cache: NewCache(now), wakeLoop: make(chan struct{}, 1), zoneIndex: slices.Index(options.Zones, options.Zone)}
+	c := &Client{Options: options, asks: new(expvar.Map).Init(), cache: NewCache(now), wakeLoop: make(chan struct{}, 1), zoneIndex: slices.Index(options.Zones, options.Zone)}
 	c.createAfter = make([]time.Time, options.Shards)
 	for range options.Shards {
 		c.leases = append(c.leases, NewLease(now, options.Self))
@@ -141,7 +145,7 @@
 		return newRateExceeded(wait)
 	}
 	wait := maxEmptyTime
-	unanswered := false
+	var unanswered []string
 	for i := range c.Zones {
 		zone := (c.zoneIndex + i) % len(c.Zones)
 		if limit.ZoneShare(key, zone, len(c.Zones)).Burst < 1 {
@@ -150,7 +154,7 @@
 		ask := Ask{Key: key, Now: 1, Shard: c.shardOf(key), Zone: c.Zones[zone]}
 		grant, err := c.ask(ctx, time.Now(), &ask, zone == c.zoneIndex)
 		if err != nil {
-			unanswered = true
+			unanswered = append(unanswered, c.Zones[zone]+": "+string(outcomeOf(err)))
 			continue
 		}
 		if grant.Now > 0 {
@@ -158,13 +162,54 @@
 		}
 		wait = min(wait, grant.Wait)
 	}
-	if unanswered {
-		return refuse.New(refuse.RateUnavailable, unavailableRetryAfter, "an allocator of the customer's rate does not answer, and the others have no more")
+	if len(unanswered) > 0 {
+		return refuse.New(refuse.RateUnavailable, unavailableRetryAfter, "an allocator of the customer's rate does not answer, and the others have no more (%s)", strings.Join(unanswered, ", "))
 	}
 	c.cache.SetEmpty(time.Now(), key, wait)
 	return newRateExceeded(wait)
 }
 
+// askOutcome is what became of an Ask.
+type askOutcome string
+
+// Outcomes of Asks.
+const (
+	askAnswered   askOutcome = "Answered"
+	askFailed     askOutcome = "Failed"     // the link broke, or the node answered with an error
+	askLate       askOutcome = "Late"       // the answer came after the tokens had to be used
+	askNoRecord   askOutcome = "NoRecord"   // no holder is known
+	askNotHere    askOutcome = "NotHere"    // this node is the recorded holder and may not grant tokens
+	askUnanswered askOutcome = "Unanswered" // no answer in time
+)
+
+// outcomeOf returns the outcome of an Ask that failed with err, nil for none.
+func outcomeOf(err error) askOutcome {
+	switch {
+	case err == nil:
+		return askAnswered
+	case errors.Is(err, errNoRecord):
+		return askNoRecord
+	case errors.Is(err, errNotHere):
+		return askNotHere
+	case trace.IsLimitExceeded(err):
+		return askLate
+	case errors.Is(err, context.DeadlineExceeded):
+		return askUnanswered
+	}
+	return askFailed
+}
+
+// Errors of an Ask that was not sent.
+var (
+	errNoRecord = errors.New("no allocator is recorded")
+	errNotHere  = errors.New("the allocator is not here")
+)
+
+// Asks returns the numbers of Asks, by outcome.
+func (c *Client) Asks() expvar.Var {
+	return c.asks
+}
+
 // newRateExceeded returns the refusal of a request for which there is no token.
 func newRateExceeded(wait time.Duration) *refuse.Refusal {
 	return refuse.New(refuse.RateExceeded, max(wait, time.Millisecond), "the customer's rate over all hosts is used up")
@@ -223,6 +268,7 @@
 	if err == nil && now.Sub(sent) >= askTimeout {
 		err = trace.LimitExceeded("the allocator answered after %v, want less than %v", now.Sub(sent), askTimeout)
 	}
+	c.asks.Add(string(outcomeOf(err)), 1)
 	if ask.Seq != 0 {
 		c.cache.ApplyGrant(sent, now, ask, grant)
 	}
@@ -234,7 +280,7 @@
 func (c *Client) exchange(ctx context.Context, sent time.Time, ask *Ask) (*Grant, error) {
 	record, ok := c.Config.Snapshot().Allocator(ask.Zone, ask.Shard)
 	if !ok {
-		return nil, trace.NotFound("no allocator is recorded for shard %d of zone %q", ask.Shard, ask.Zone)
+		return nil, trace.Wrap(errNoRecord, "shard %d of zone %q", ask.Shard, ask.Zone)
 	}
 	var grant Grant
 	if record.Holder == c.Self {
@@ -252,16 +298,16 @@
 	return &grant, nil
 }
 
-// answerAsk answers an Ask as the holder of the shard's allocator. It returns a
-// NotFound error if the node may not grant tokens for the shard, or the key has
-// no limit.
+// answerAsk answers an Ask as the holder of the shard's allocator. It returns
+// errNotHere if the node may not grant tokens for the shard, and a NotFound error if the
+// key has no limit.
 func (c *Client) answerAsk(now time.Time, node netip.AddrPort, ask *Ask) (Grant, error) {
 	if ask.Zone != c.Zone || ask.Shard >= len(c.leases) {
-		return Grant{}, trace.NotFound("the allocator is not here")
+		return Grant{}, trace.Wrap(errNotHere)
 	}
 	allocator := c.leases[ask.Shard].Allocator(now)
 	if allocator == nil || !allocator.Started(now) {
-		return Grant{}, trace.NotFound("the allocator is not here")
+		return Grant{}, trace.Wrap(errNotHere)
 	}
 	limit, ok := c.Limits(ask.Key)
 	if !ok {
