Show that slow messages between nodes stop all customers with a rate

While messages between nodes take 100 ms longer each way, nearly every request of a customer below its rate is refused with RateUnavailable: 28 % of the requests of a case in which the messages are slow for a third of the time, where 1.67 % (95 % of the rate usable meanwhile) is allowed. The case of 60 ms passes: 180 ms for an answer is the cliff.

--- a/internal/fakes/mesh/mesh.go
+++ b/internal/fakes/mesh/mesh.go
@@ -19,9 +19,8 @@
 
 // Network connects nodes. No other lock is acquired while mu is held.
 type Network struct {
-	delay time.Duration
-
 	mu        sync.Mutex
+	delay     time.Duration
 	onMessage func(from, to netip.AddrPort, kind wire.Kind, size int)
 	lost      map[[2]netip.AddrPort]bool // by sender and receiver
 	nodes     map[netip.AddrPort]*Node
@@ -50,6 +49,13 @@
 	return node
 }
 
+// SetDelay sets the delay of messages and answers that are sent from now on.
+func (n *Network) SetDelay(delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
 // Remove removes a node, as if its host had failed. Messages to it return an error
 // after the delay, and its own are lost.
 func (n *Network) Remove(address netip.AddrPort) {
@@ -156,7 +162,10 @@
 // waitForDelivery waits for the delay of a message between this node and another.
 // If the message is lost, it waits until the context ends and returns its error.
 func (n *Node) waitForDelivery(ctx context.Context, to netip.AddrPort) error {
-	timer := time.NewTimer(n.network.delay)
+	n.network.mu.Lock()
+	delay := n.network.delay
+	n.network.mu.Unlock()
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -149,7 +149,7 @@
 }
 
 func newFleet(ctx context.Context, t *testing.T, zones, perZone int, limit Limit) *fleet {
-	f := &fleet{admitted: make(map[string][]time.Time), demanded: make(map[string][]time.Time), net: mesh.NewNetwork(time.Millisecond), platform: objapi.New()}
+	f := &fleet{admitted: make(map[string][]time.Time), demanded: make(map[string][]time.Time), net: mesh.NewNetwork(usualDelay), platform: objapi.New()}
 	row := rows.Default(testRoute, rows.AnyCustomer)
 	row.Rate, row.Burst = limit.Rate, limit.Burst
 	value, err := kinds.Encode(&kinds.RowObject{Row: row})
@@ -276,9 +276,13 @@
 }
 
 // setFault begins or ends a fault. A node that died or left stays away. While a fault
-// begins, "settle" waits for the others to react, and "allocator-rejoins" ends
+// begins, "slow-MS" delays all messages by that many milliseconds, "settle" waits for the others to react, and "allocator-rejoins" ends
 // "allocator-isolated".
 func (f *fleet) setFault(ctx context.Context, name string, on bool) {
+	if ms, ok := strings.CutPrefix(name, "slow-"); ok {
+		f.setDelay(ms, on)
+		return
+	}
 	switch name {
 	case "allocator-cut":
 		holder := f.holder("zone0")
@@ -341,6 +345,19 @@
 	}
 }
 
+// usualDelay is how long messages between nodes take.
+const usualDelay = time.Millisecond
+
+// setDelay makes messages between nodes take the given number of milliseconds, or as long
+// as usual.
+func (f *fleet) setDelay(ms string, on bool) {
+	delay := usualDelay
+	if n, err := strconv.Atoi(ms); err == nil && on {
+		delay = time.Duration(n) * time.Millisecond
+	}
+	f.net.SetDelay(delay)
+}
+
 // addNodes starts nodes of an availability zone that join the fleet.
 func (f *fleet) addNodes(ctx context.Context, zone string, count int) {
 	for i := range count {
