Give nodes that answer slowly the time that they take

Cause: every wait for another node had a fixed limit, 180 ms for tokens, 200 ms for a holder, 250 ms for promises, 100 to 300 ms until a link counts as silent, 800 ms for a ping with all pulls that follow it. What is slower than the limit was taken for gone: no tokens at any node, take-overs of allocators whose holders were well, replaced links, nodes declared dead, and all of these make further work. Class: slow taken for gone, a cliff at a constant.

Change: links measure how long each peer, and all peers, take to answer, also when the answer comes after its call has ended. Waits grow with that, from the limits of before, and do not grow for a peer that does not answer at all. A node tells with an Ask how long it waits; the allocator counts the token for as long and says so, within the half of a burst that a later holder already allows for, and the node confirms its use. A pull that takes too long does not make the peer that answered the ping suspect. Shards are maintained independently of each other. Older nodes ignore the new fields and are asked as before.

--- a/internal/conn/links/link.go
+++ b/internal/conn/links/link.go
@@ -16,8 +16,11 @@
 // Times after which a link counts as silent.
 const (
 	// silentAfter is how long a request waits for its answer, without any frame on the
-	// link, until further requests are sent on a new link.
+	// link, until further requests are sent on a new link. At a peer that lately took
+	// longer to answer, it is slowFactor times that, and at most maxSilence.
 	silentAfter = 300 * time.Millisecond
+	maxSilence  = 3 * time.Second
+	slowFactor  = 2
 	// minSilence is the same for a request that ends sooner.
 	minSilence = 100 * time.Millisecond
 	// minLinkAge is the age from which a link is replaced. It limits how often a node opens
@@ -39,18 +42,21 @@
 	peer     netip.AddrPort
 
 	mu      sync.Mutex
+	late    map[uint64]time.Time // by request ID: when requests were sent whose calls have ended
 	lastID  uint64
 	pending map[uint64]chan wire.Frame // by request ID, for requests that await an answer
 	probing bool                       // probe is running
 	readAt  time.Time                  // when the last frame was read
 	retired bool
+	// unansweredSince is when the first request was sent after the last frame was read.
+	unansweredSince time.Time
 }
 
 func newLink(m *Mesh, peer netip.AddrPort, conn *websocket.Conn) *link {
 	ctx, cancel := context.WithCancel(m.ctx)
 	conn.SetReadLimit(maxFrame)
 	now := time.Now()
-	return &link{cancel: cancel, conn: conn, ctx: ctx, mesh: m, openedAt: now, peer: peer, pending: make(map[uint64]chan wire.Frame), readAt: now}
+	return &link{cancel: cancel, conn: conn, ctx: ctx, late: make(map[uint64]time.Time), mesh: m, openedAt: now, peer: peer, pending: make(map[uint64]chan wire.Frame), readAt: now}
 }
 
 func (l *link) closed() bool {
@@ -94,7 +100,7 @@
 
 // probe sends a WebSocket ping and retires the link if no answer comes.
 func (l *link) probe(now time.Time) {
-	ctx, cancel := context.WithTimeout(l.ctx, silentAfter)
+	ctx, cancel := context.WithTimeout(l.ctx, l.silenceLimit(silentAfter))
 	defer cancel()
 	err := l.conn.Ping(ctx)
 	l.mu.Lock()
@@ -122,18 +128,27 @@
 	if err := l.send(ctx, frame); err != nil {
 		return wire.Frame{}, trace.Wrap(err)
 	}
-	silence := time.NewTimer(silentAfter)
+	l.recordSent(sent)
+	slow := l.mesh.slowHandlers[frame.Kind] != nil
+	silence := time.NewTimer(l.silenceLimit(silentAfter))
 	defer silence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			if now := time.Now(); now.Sub(sent) >= minSilence {
-				l.retireIfSilent(now, sent)
+			now := time.Now()
+			if !slow {
+				l.expectLate(now, frame.ID, sent)
+			}
+			if since := l.waitingSince(sent); now.Sub(since) >= l.silenceLimit(minSilence) {
+				l.retireIfSilent(now, since)
 			}
 			return wire.Frame{}, trace.Wrap(ctx.Err())
 		case <-l.ctx.Done():
 			return wire.Frame{}, trace.ConnectionProblem(nil, "the link to %v was closed before the answer came", l.peer)
 		case frame = <-answer:
+			if !slow {
+				l.mesh.trips.record(l.peer, time.Since(sent))
+			}
 			return frame, nil
 		case now := <-silence.C:
 			l.retireIfSilent(now, sent)
@@ -141,6 +156,36 @@
 	}
 }
 
+// waitingSince returns since when requests wait without a frame on the link, given when one
+// that still waits was sent.
+func (l *link) waitingSince(sent time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.readAt.After(l.unansweredSince) || sent.Before(l.unansweredSince) {
+		return sent
+	}
+	return l.unansweredSince
+}
+
+// silenceLimit returns the time without a frame after which the link counts as silent, given
+// that for a peer that answers fast.
+func (l *link) silenceLimit(fast time.Duration) time.Duration {
+	return max(fast, min(slowFactor*l.mesh.trips.of(l.peer), maxSilence))
+}
+
+// expectLate records that the answer to a request may come after its call has ended. It
+// then still tells how long the peer takes.
+func (l *link) expectLate(now time.Time, id uint64, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for other, at := range l.late {
+		if now.Sub(at) >= lateAnswerTime {
+			delete(l.late, other)
+		}
+	}
+	l.late[id] = sent
+}
+
 func (l *link) dropPending(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -182,7 +227,7 @@
 			return
 		}
 		if frame.Answer {
-			l.deliver(frame)
+			l.deliver(time.Now(), frame)
 			continue
 		}
 		if err := l.handle(frame); err != nil {
@@ -191,6 +236,15 @@
 	}
 }
 
+// recordSent records that a request was sent.
+func (l *link) recordSent(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.readAt.After(l.unansweredSince) {
+		l.unansweredSince = now
+	}
+}
+
 // recordRead records that a frame was read.
 func (l *link) recordRead(now time.Time) {
 	l.mu.Lock()
@@ -199,12 +253,18 @@
 }
 
 // deliver passes an answer to the call that waits for it. If that call has
-// returned already, as after the end of its context, the answer is dropped.
-func (l *link) deliver(frame wire.Frame) {
+// returned already, as after the end of its context, the answer only tells how long the
+// peer took.
+func (l *link) deliver(now time.Time, frame wire.Frame) {
 	l.mu.Lock()
 	answer := l.pending[frame.ID]
 	delete(l.pending, frame.ID)
+	sent, late := l.late[frame.ID]
+	delete(l.late, frame.ID)
 	l.mu.Unlock()
+	if late {
+		l.mesh.trips.record(l.peer, now.Sub(sent))
+	}
 	if answer != nil {
 		answer <- frame
 	}
--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -70,6 +70,7 @@
 	slowHandlers map[wire.Kind]Handler
 	slowSlots    chan struct{} // has an element for each slow handler in progress
 	traffic      Traffic
+	trips        *roundTrips
 	workers      conc.WaitGroup // readers of own links, and slow handlers
 
 	mu       sync.Mutex
@@ -117,6 +118,7 @@
 		self:         self,
 		slowSlots:    make(chan struct{}, maxSlowRequests),
 		slowHandlers: make(map[wire.Kind]Handler),
+		trips:        newRoundTrips(),
 	}
 	for _, option := range options {
 		option(m)
@@ -148,6 +150,12 @@
 	return m.accepted + len(m.links)
 }
 
+// RoundTrip returns how long a node lately took to answer, also if the answer came after
+// the end of its call, or 0 if that is unknown. Kinds with slow handlers do not count.
+func (m *Mesh) RoundTrip(to netip.AddrPort) time.Duration {
+	return m.trips.of(to)
+}
+
 // Wait waits until the links that the node opened, and all slow handlers, have
 // ended. It does not wait for accepted links, which end in ServeHTTP.
 func (m *Mesh) Wait() {
--- a/internal/conn/links/silent_test.go
+++ b/internal/conn/links/silent_test.go
@@ -77,6 +77,49 @@
 	}
 }
 
+// TestSlowPeer guards against a peer that is taken for silent because it answers slowly: the
+// time of its answers must become known although they come after the ends of the calls, its
+// link must not be replaced any more from then on, and a link that goes silent for good is
+// replaced all the same, sooner again once the peer is fast.
+func TestSlowPeer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := newPipeNetwork(t)
+		defer n.close()
+		n.slow = 500 * time.Millisecond
+		call := func(limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(n.ctx, limit)
+			defer cancel()
+			var answer echo
+			return n.caller.Call(ctx, n.to, kindFast, echo{Text: "x"}, &answer)
+		}
+		for range 10 {
+			assert.Check(t, call(180*time.Millisecond) != nil)
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, n.caller.RoundTrip(n.to), n.slow)
+		assert.Check(t, len(n.conns) <= 2, "%d links opened", len(n.conns))
+		assert.NilError(t, call(3*n.caller.RoundTrip(n.to)))
+
+		opened := len(n.conns)
+		n.silence("both")
+		began := time.Now()
+		for call(n.caller.RoundTrip(n.to)*3/2) != nil {
+			assert.Assert(t, time.Since(began) < 2*maxSilence, "the silent link was not replaced")
+		}
+		assert.Equal(t, len(n.conns), opened+1)
+
+		n.slow = time.Millisecond
+		for range 60 {
+			assert.NilError(t, call(time.Second))
+		}
+		assert.Check(t, n.caller.RoundTrip(n.to) < minSilence/slowFactor, "%v", n.caller.RoundTrip(n.to))
+	})
+}
+
+// kindFast is a kind of message whose handler does not block, as far as the mesh knows.
+const kindFast = wire.KindNews
+
 // pipeNetwork connects two meshes by pipes that can go silent.
 type pipeNetwork struct {
 	accept chan net.Conn
@@ -93,12 +136,14 @@
 	n := &pipeNetwork{accept: make(chan net.Conn), to: netip.MustParseAddrPort("10.0.0.2:1")}
 	n.ctx, n.cancel = context.WithCancel(t.Context())
 	peer := NewMesh(n.ctx, n.to, newSecret(t, "the secret of the test"))
-	peer.HandleSlow(wire.KindPing, func(_ netip.AddrPort, body []byte) (any, error) {
+	handle := func(_ netip.AddrPort, body []byte) (any, error) {
 		var e echo
 		err := wire.Decode(body, &e)
 		_ = pause.For(n.ctx, n.slow)
 		return e, err
-	})
+	}
+	peer.HandleSlow(wire.KindPing, handle)
+	peer.HandleSlow(kindFast, handle)
 	n.caller = NewMesh(n.ctx, netip.MustParseAddrPort("10.0.0.1:1"), newSecret(t, "the secret of the test"), WithDialer(n))
 	n.server = &http.Server{Handler: peer}
 	go func() { _ = n.server.Serve(n) }()
--- a/internal/fakes/mesh/mesh.go
+++ b/internal/fakes/mesh/mesh.go
@@ -108,6 +108,13 @@
 // Reset does nothing, as there are no connections to reset.
 func (n *Node) Reset(netip.AddrPort) {}
 
+// RoundTrip returns how long answers take at the time.
+func (n *Node) RoundTrip(netip.AddrPort) time.Duration {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	return 2 * n.network.delay
+}
+
 // Send sends a message and discards the answer. It returns the error of the
 // receiver's handler, too.
 func (n *Node) Send(ctx context.Context, to netip.AddrPort, kind wire.Kind, message any) error {
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -25,7 +25,11 @@
 	// newsDelay is how long a node collects records before it sends them on together.
 	newsDelay      = 10 * time.Millisecond
 	pingInterval   = time.Second
+	// pingTimeout limits the wait for an answer. At a peer that lately took longer, it is
+	// slowFactor times that, and at most maxPingTimeout.
 	pingTimeout    = 800 * time.Millisecond
+	maxPingTimeout = 3 * time.Second
+	slowFactor     = 3
 	rejoinInterval = 5 * time.Second
 	// syncAfter is the number of consecutive pings with differing digests after
 	// which the tables are synced.
@@ -41,6 +45,8 @@
 	Call(ctx context.Context, to netip.AddrPort, kind wire.Kind, request any, answer wire.Checker) error
 	Handle(kind wire.Kind, handler func(from netip.AddrPort, body []byte) (any, error))
 	Reset(to netip.AddrPort)
+	// RoundTrip returns how long a node lately took to answer, 0 if that is unknown.
+	RoundTrip(to netip.AddrPort) time.Duration
 	Send(ctx context.Context, to netip.AddrPort, kind wire.Kind, message any) error
 }
 
@@ -220,7 +226,7 @@
 	if !ahead.IsValid() {
 		return
 	}
-	pullCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	pullCtx, cancel := context.WithTimeout(ctx, a.pullTimeout(ahead))
 	defer cancel()
 	if a.pullAll(pullCtx, ahead) {
 		senders.Go(func() { a.Announce(ctx) })
@@ -300,20 +306,41 @@
 	return a.failedPings[peer]
 }
 
-// ping exchanges the states of the tables with a peer, and pulls the feeds in which
-// the peer is ahead. It exchanges the shared state if that differs, and syncs the
-// membership tables if they keep differing.
+// answerTimeout returns how long to wait for an answer of a peer.
+func (a *Agent) answerTimeout(peer netip.AddrPort) time.Duration {
+	return max(pingTimeout, min(slowFactor*a.mesh.RoundTrip(peer), maxPingTimeout))
+}
+
+// pullTimeout returns how long the pulls of all feeds from a peer may take: two calls each.
+func (a *Agent) pullTimeout(peer netip.AddrPort) time.Duration {
+	return max(pingTimeout, min(time.Duration(2*len(a.feeds)*slowFactor)*a.mesh.RoundTrip(peer), maxPingTimeout))
+}
+
+// ping exchanges the states of the tables with a peer and takes over what the peer has and
+// the node lacks. It returns an error if the peer does not answer the ping; a peer that
+// answers is alive even if the rest takes too long.
 func (a *Agent) ping(ctx context.Context, peer netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	pingCtx, cancel := context.WithTimeout(ctx, a.answerTimeout(peer))
 	defer cancel()
 	sent := time.Now()
 	var answer Ping
-	if err := a.mesh.Call(ctx, peer, wire.KindPing, a.newPing(sent), &answer); err != nil {
+	if err := a.mesh.Call(pingCtx, peer, wire.KindPing, a.newPing(sent), &answer); err != nil {
 		return trace.Wrap(err)
 	}
 	a.mu.Lock()
 	a.answeredAt = time.Now()
 	a.mu.Unlock()
+	pullCtx, cancelPulls := context.WithTimeout(ctx, a.pullTimeout(peer))
+	defer cancelPulls()
+	if err := a.takeOver(pullCtx, sent, peer, &answer); err != nil {
+		a.log.Debug().Err(err).Stringer("Peer", peer).Msg("pulling a feed from a peer failed")
+	}
+	return nil
+}
+
+// takeOver pulls the feeds in which a peer is ahead by its answer to a ping, exchanges the
+// shared state if that differs, and syncs the membership tables if they keep differing.
+func (a *Agent) takeOver(ctx context.Context, sent time.Time, peer netip.AddrPort, answer *Ping) error {
 	a.compareShared(ctx, peer, answer.Shared)
 	a.compareDigests(ctx, peer, answer.Digest)
 	for i, state := range answer.Feeds[:min(len(answer.Feeds), len(a.feeds))] {
--- a/internal/process/quota/allocator.go
+++ b/internal/process/quota/allocator.go
@@ -27,9 +27,10 @@
 	// last knew that no other node had taken over.
 	LeaseDuration = 600 * time.Millisecond
 	// ImmediateGrantTTL is how long an allocator counts immediate tokens as
-	// unused.
+	// unused, unless the node has to wait longer for the answer.
 	ImmediateGrantTTL = 200 * time.Millisecond
-	// askTimeout is how long a node waits for the answer to an Ask. It is
+	// askTimeout is how long a node waits for the answer to an Ask, unless the allocator's
+	// node lately took longer. It is
 	// shorter than ImmediateGrantTTL to allow for clock drift between nodes.
 	askTimeout = ImmediateGrantTTL * 9 / 10
 	// nodeGrantTTL is how long a node uses held tokens after it asked for them.
@@ -47,7 +48,7 @@
 // Limits on held tokens.
 const (
 	// maxHeldFraction is the fraction of a burst that all nodes together may
-	// hold.
+	// hold or get as immediate tokens that count for longer than ImmediateGrantTTL.
 	maxHeldFraction = 1.0 / 2
 	// maxGrantFraction is the fraction of the tokens in a bucket that one node
 	// may get to hold in one grant.
@@ -97,6 +98,9 @@
 	Now int `cbor:",omitempty"`
 	// NowSeq increases with each Ask of a node for immediate tokens.
 	NowSeq uint64 `cbor:",omitempty"`
+	// Patience is how long the node waits for the answer, 0 for askTimeout. Nodes of
+	// earlier versions ignore it.
+	Patience time.Duration `cbor:",omitempty"`
 	// Seq increases with each Ask of a node for tokens to hold. It is 0 in
 	// other Asks.
 	Seq uint64 `cbor:",omitempty"`
@@ -110,7 +114,7 @@
 
 // Check implements wire.Checker.
 func (a *Ask) Check() error {
-	if a.Held < 0 || a.Now < 0 || a.Want < 0 || a.Now+a.Want > maxAskTokens || a.Shard < 0 || a.Zone == "" || a.Key.Route == "" {
+	if a.Held < 0 || a.Now < 0 || a.Want < 0 || a.Now+a.Want > maxAskTokens || a.Patience < 0 || a.Shard < 0 || a.Zone == "" || a.Key.Route == "" {
 		return trace.BadParameter("Ask: want a key, a zone, a shard and a number of tokens")
 	}
 	return nil
@@ -124,6 +128,9 @@
 	Now int `cbor:",omitempty"`
 	// Term is the allocator's term.
 	Term uint64
+	// Valid is how long the allocator counts the immediate tokens as unused, 0 for
+	// ImmediateGrantTTL.
+	Valid time.Duration `cbor:",omitempty"`
 	// Wait is the time until the next token is available, if fewer immediate
 	// tokens were granted than asked for.
 	Wait time.Duration `cbor:",omitempty"`
@@ -131,12 +138,21 @@
 
 // Check implements wire.Checker.
 func (g *Grant) Check() error {
-	if g.Held < 0 || g.Now < 0 || g.Wait < 0 {
+	if g.Held < 0 || g.Now < 0 || g.Valid < 0 || g.Wait < 0 {
 		return trace.BadParameter("Grant: want no negative numbers")
 	}
 	return nil
 }
 
+// usableFor returns how long after its Ask a node may use the immediate tokens. It is
+// shorter than the time for which the allocator counts them, to allow for clock drift.
+func (g *Grant) usableFor() time.Duration {
+	if g.Valid > 0 {
+		return g.Valid * 9 / 10
+	}
+	return askTimeout
+}
+
 // Allocator grants the tokens of one shard during one term. No other lock is
 // acquired while its lock is held.
 type Allocator struct {
@@ -177,7 +193,8 @@
 	b.limit = limit
 	b.applyReport(now, node, ask)
 	b.refill(now)
-	answer := Grant{Term: a.term, Now: b.grantImmediate(now, node, ask)}
+	answer := Grant{Term: a.term}
+	answer.Now, answer.Valid = b.grantImmediate(now, node, ask)
 	if answer.Now < ask.Now {
 		answer.Wait = b.timeToNextToken()
 		return answer
@@ -211,7 +228,7 @@
 // first term, it reserves the whole burst for tokens that the previous holder
 // may have granted, because it does not know how many there are.
 func (a *Allocator) newBucket(limit Limit) *bucket {
-	b := &bucket{grants: make(map[netip.AddrPort]*grant), limit: limit, immediate: newImmediateGrants(), updated: a.start}
+	b := &bucket{grants: make(map[netip.AddrPort]*grant), limit: limit, immediate: newImmediateGrants(), slow: newImmediateGrants(), updated: a.start}
 	if a.firstTerm {
 		b.tokens = limit.Burst
 		return b
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -16,6 +16,7 @@
 	limit          Limit
 	tokens         float64
 	immediate      immediateGrants
+	slow           immediateGrants // immediate tokens of nodes that wait longer than askTimeout
 	updated        time.Time // last refill
 }
 
@@ -31,6 +32,7 @@
 // later one.
 func (b *bucket) applyReport(now time.Time, node netip.AddrPort, ask *Ask) {
 	b.immediate.settle(node, ask.Below)
+	b.slow.settle(node, ask.Below)
 	if ask.Seq == 0 {
 		return
 	}
@@ -47,14 +49,31 @@
 }
 
 // grantImmediate takes the immediate tokens of an Ask out of the bucket, or as
-// many as there are, and returns their number.
-func (b *bucket) grantImmediate(now time.Time, node netip.AddrPort, ask *Ask) int {
-	tokens := min(ask.Now, int(b.tokens))
-	if tokens > 0 {
-		b.tokens -= float64(tokens)
-		b.immediate.add(node, immediateGrant{expires: now.Add(ImmediateGrantTTL), seq: ask.NowSeq, tokens: tokens})
+// many as there are, and returns their number. If the node waits longer than askTimeout,
+// it also returns how long the tokens count as unused. Those count together with held
+// tokens towards maxHeldFraction, as a later holder allows for that many.
+func (b *bucket) grantImmediate(now time.Time, node netip.AddrPort, ask *Ask) (tokens int, valid time.Duration) {
+	tokens = min(ask.Now, int(b.tokens))
+	if ask.Patience <= askTimeout {
+		if tokens > 0 {
+			b.tokens -= float64(tokens)
+			b.immediate.add(node, immediateGrant{expires: now.Add(ImmediateGrantTTL), seq: ask.NowSeq, tokens: tokens})
+		}
+		return tokens, 0
 	}
-	return tokens
+	if tokens = min(tokens, b.holdable(now)); tokens <= 0 {
+		return 0, 0
+	}
+	valid = min(ask.Patience*10/9, GrantTTL)
+	b.tokens -= float64(tokens)
+	b.slow.add(node, immediateGrant{expires: now.Add(valid), seq: ask.NowSeq, tokens: tokens})
+	return tokens, valid
+}
+
+// holdable returns the number of tokens that nodes may get in addition to hold them, or to
+// wait longer than askTimeout for them.
+func (b *bucket) holdable(now time.Time) int {
+	return int(b.limit.Burst*maxHeldFraction) - b.held(now) - b.slow.unused(now)
 }
 
 // grantHeld takes tokens out of the bucket for a node to hold and returns their
@@ -64,8 +83,7 @@
 	if ask.Seq == 0 || (g != nil && ask.Seq <= g.seq) {
 		return 0
 	}
-	available := int(b.limit.Burst*maxHeldFraction) - b.held(now)
-	tokens := max(min(ask.Want, int(b.tokens*maxGrantFraction), available), 0)
+	tokens := max(min(ask.Want, int(b.tokens*maxGrantFraction), b.holdable(now)), 0)
 	if g == nil {
 		g = &grant{}
 		b.grants[node] = g
@@ -90,7 +108,7 @@
 
 // unused returns the number of granted tokens that nodes may still use.
 func (b *bucket) unused(now time.Time) int {
-	return b.held(now) + b.immediate.unused(now)
+	return b.held(now) + b.immediate.unused(now) + b.slow.unused(now)
 }
 
 // held returns the number of tokens that nodes hold. It also removes grants
--- a/internal/process/quota/cache.go
+++ b/internal/process/quota/cache.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// SettledBelow returns the number below which the node has used or discarded the immediate
+// tokens of all its Asks to the allocator, apart from the given Ask, whose tokens are used.
+func (c *Cache) SettledBelow(ask *Ask) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.entries[ask.Key]; e != nil {
+		for _, seq := range e.immediateAsks[ask.Zone] {
+			if seq != ask.NowSeq {
+				return seq
+			}
+		}
+	}
+	return c.seq + 1
+}
+
 // AddWaiter adds a request to those of a key that wait for a token. It returns
 // false if there are maxWaiters already or the key has no entry. Otherwise the
 // caller must call RemoveWaiter.
@@ -194,8 +209,9 @@
 
 // PlanPrefetch adds the tokens to hold to an Ask. It returns false, and leaves
 // the Ask unchanged, if no more tokens are needed or another Ask for tokens to
-// hold is in flight. Otherwise the caller must call ApplyGrant.
-func (c *Cache) PlanPrefetch(now time.Time, ask *Ask) bool {
+// hold is in flight. Otherwise the caller must call ApplyGrant. The answer is expected to
+// take the time roundTrip.
+func (c *Cache) PlanPrefetch(now time.Time, ask *Ask, roundTrip time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.entry(now, ask.Key)
@@ -205,8 +221,8 @@
 	if !now.Before(e.expires) {
 		e.tokens = 0
 	}
-	target := int(math.Ceil(math.Min(e.demand*prefetchWindow.Seconds(), maxHeld)))
-	if e.tokens > target/2 && e.expires.Sub(now) > renewBefore {
+	target := int(math.Ceil(math.Min(e.demand*(prefetchWindow+2*roundTrip).Seconds(), maxHeld)))
+	if e.tokens > target/2 && e.expires.Sub(now) > renewBefore+roundTrip {
 		return false
 	}
 	c.seq++
@@ -218,17 +234,18 @@
 }
 
 // ApplyGrant applies the answer to an Ask that PlanPrefetch completed. The
-// grant is nil if the Ask failed. A grant that arrives after askTimeout is
-// ignored. Tokens of an earlier term are discarded.
+// grant is nil if the Ask failed. Tokens of an earlier term are discarded, and so are
+// those that have expired: the allocator may not have counted them any more when it got
+// the Ask.
 func (c *Cache) ApplyGrant(sent, now time.Time, ask *Ask, grant *Grant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.entry(now, ask.Key)
 	e.prefetching = false
-	if grant == nil || now.Sub(sent) >= askTimeout {
+	if grant == nil || now.Sub(sent) >= nodeGrantTTL {
 		return
 	}
-	if grant.Term != e.term {
+	if grant.Term != e.term || !now.Before(e.expires) {
 		e.tokens = 0
 		e.term = grant.Term
 	}
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -61,6 +61,8 @@
 type Mesh interface {
 	Call(ctx context.Context, to netip.AddrPort, kind wire.Kind, request any, answer wire.Checker) error
 	Handle(kind wire.Kind, handler func(from netip.AddrPort, body []byte) (any, error))
+	// RoundTrip returns how long a node lately took to answer, 0 if that is unknown.
+	RoundTrip(to netip.AddrPort) time.Duration
 }
 
 // Options are the dependencies and settings of a Client.
@@ -86,6 +88,7 @@
 	asks   *expvar.Map // Asks, by outcome
 	leases []*Lease // by shard
 	cache  *Cache
+	busy   []atomic.Bool // by shard: whether a round maintains it
 	// createAfter is the time, by shard, before which the node does not create the
 	// allocator. Only the goroutine that maintains a shard uses its element.
 	createAfter []time.Time
@@ -98,6 +101,7 @@
 // NewClient returns a Client and registers its message handlers on the mesh.
 func NewClient(now time.Time, options Options) *Client {
 	c := &Client{Options: options, asks: new(expvar.Map).Init(), cache: NewCache(now), wakeLoop: make(chan struct{}, 1), zoneIndex: slices.Index(options.Zones, options.Zone)}
+	c.busy = make([]atomic.Bool, options.Shards)
 	c.createAfter = make([]time.Time, options.Shards)
 	for range options.Shards {
 		c.leases = append(c.leases, NewLease(now, options.Self))
@@ -238,7 +242,7 @@
 // them.
 func (c *Client) prefetch(ctx context.Context, now time.Time, key Key) {
 	ask := Ask{Key: key, Shard: c.shardOf(key), Zone: c.Zone}
-	if !c.cache.PlanPrefetch(now, &ask) {
+	if !c.cache.PlanPrefetch(now, &ask, c.holderRoundTrip(&ask)) {
 		return
 	}
 	ctx = context.WithoutCancel(ctx)
@@ -253,20 +257,62 @@
 	c.cache.BeginImmediate(sent, ask)
 	defer c.cache.EndImmediate(ask)
 	if own {
-		c.cache.PlanPrefetch(sent, ask)
+		c.cache.PlanPrefetch(sent, ask, c.holderRoundTrip(ask))
 	}
-	return c.call(ctx, sent, ask)
+	grant, err := c.call(ctx, sent, ask)
+	if err == nil && grant.Valid > 0 {
+		c.settle(ctx, ask)
+	}
+	return grant, err
+}
+
+// settle tells the allocator in the background that the immediate tokens of an Ask are
+// used. It does so for those that the allocator would otherwise count as unused for long.
+func (c *Client) settle(ctx context.Context, ask *Ask) {
+	settled := &Ask{Below: c.cache.SettledBelow(ask), Key: ask.Key, Shard: ask.Shard, Zone: ask.Zone}
+	ctx = context.WithoutCancel(ctx)
+	c.workers.Go(func() {
+		guard.Run(c.Log, "settled tokens", func() {
+			if _, err := c.exchange(ctx, time.Now(), settled); err != nil {
+				c.Log.Debug().Err(err).Str("Zone", ask.Zone).Msg("settling immediate tokens failed")
+			}
+		})
+	})
+}
+
+// Times of Asks to holders that answer slowly.
+const (
+	// maxPatience is the longest time for which a node waits for an answer. Tokens that
+	// come later could not be used any more.
+	maxPatience = nodeGrantTTL * 8 / 9
+	// slowFactor is the wait for an answer as a multiple of the time that the holder
+	// lately took.
+	slowFactor = 3
+)
+
+// patience returns how long to wait for an answer that lately took a time.
+func patience(roundTrip time.Duration) time.Duration {
+	return max(askTimeout, min(slowFactor*roundTrip, maxPatience))
+}
+
+// holderRoundTrip returns how long the holder of an Ask's allocator lately took to answer,
+// 0 if that is unknown.
+func (c *Client) holderRoundTrip(ask *Ask) time.Duration {
+	record, ok := c.Config.Snapshot().Allocator(ask.Zone, ask.Shard)
+	if !ok || record.Holder == c.Self {
+		return 0
+	}
+	return c.Mesh.RoundTrip(record.Holder)
 }
 
 // call sends an Ask and returns the answer. If the Ask is for tokens to hold,
-// call also applies the answer to the cache. An answer that takes askTimeout or
-// longer is an error, because the allocator may have stopped counting the
-// immediate tokens as unused.
+// call also applies the answer to the cache. An answer with immediate tokens that comes so
+// late that the allocator may have stopped counting them as unused is an error.
 func (c *Client) call(ctx context.Context, sent time.Time, ask *Ask) (*Grant, error) {
 	grant, err := c.exchange(ctx, sent, ask)
 	now := time.Now()
-	if err == nil && now.Sub(sent) >= askTimeout {
-		err = trace.LimitExceeded("the allocator answered after %v, want less than %v", now.Sub(sent), askTimeout)
+	if err == nil && grant.Now > 0 && now.Sub(sent) >= grant.usableFor() {
+		err = trace.LimitExceeded("the allocator answered after %v, want less than %v", now.Sub(sent), grant.usableFor())
 	}
 	c.asks.Add(string(outcomeOf(err)), 1)
 	if ask.Seq != 0 {
@@ -290,7 +336,11 @@
 		}
 		return &grant, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	wait := patience(c.Mesh.RoundTrip(record.Holder))
+	if ask.Now > 0 && wait > askTimeout {
+		ask.Patience = wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if err := c.Mesh.Call(ctx, record.Holder, wire.KindAsk, ask, &grant); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/process/quota/handover.go
+++ b/internal/process/quota/handover.go
@@ -81,6 +81,7 @@
 			limit:     h.Limit,
 			tokens:    h.Tokens,
 			immediate: newImmediateGrants(),
+			slow:      newImmediateGrants(),
 			updated:   now,
 		}
 	}
--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -18,20 +18,26 @@
 )
 
 // Run runs the lease loop until the context ends. Each round maintains the
-// leases of all shards.
+// leases of all shards but those that an earlier round still maintains.
 func (c *Client) Run(ctx context.Context) {
 	defer c.workers.Wait()
+	var shards conc.WaitGroup
+	defer shards.Wait()
 	now := time.Now()
 	for round := 1; ; round++ {
 		if !c.awaitRound(ctx, now) {
 			return
 		}
 		now = time.Now()
-		var shards conc.WaitGroup
 		for shard, lease := range c.leases {
-			shards.Go(func() { c.maintain(ctx, now, shard, lease) })
+			if !c.busy[shard].CompareAndSwap(false, true) {
+				continue
+			}
+			shards.Go(func() {
+				defer c.busy[shard].Store(false)
+				c.maintain(ctx, now, shard, lease)
+			})
 		}
-		shards.Wait()
 		if round%pruneRounds == 0 {
 			c.prune(now)
 		}
@@ -180,13 +186,13 @@
 // node still holds the allocator. Reads from the platform are charged, while
 // promises only cost messages within the availability zone. The platform is
 // therefore asked only if the node has not begun its term yet, or if the
-// candidates have to change or do not all promise. If the platform does not
+// candidates have to change, do not all promise or answer too slowly for that. If the platform does not
 // answer, it suffices that all other candidates promise, even if the candidates
 // have to change.
 func (c *Client) confirm(ctx context.Context, shard int, lease *Lease) {
 	sent := time.Now()
 	term, peers := lease.OtherCandidates()
-	if term != 0 && c.sameCandidates(shard, peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
+	if term != 0 && c.sameCandidates(shard, peers) && c.allFast(peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
 		lease.ConfirmByPromises(sent, term, false)
 		return
 	}
@@ -211,6 +217,11 @@
 	}
 }
 
+// allFast reports whether all peers lately answered within confirmTimeout.
+func (c *Client) allFast(peers []netip.AddrPort) bool {
+	return !slices.ContainsFunc(peers, func(p netip.AddrPort) bool { return c.Mesh.RoundTrip(p) >= confirmTimeout })
+}
+
 // sameCandidates reports whether this node and the peers are exactly the nodes
 // that should be candidates now.
 func (c *Client) sameCandidates(shard int, peers []netip.AddrPort) bool {
@@ -246,9 +257,10 @@
 // monitor asks the holder of a shard's allocator whether it still holds it. The
 // first candidate takes over after maxMissedAnswers questions in a row without
 // a positive answer. Each further candidate waits for as many more, so that the
-// candidates try one after another.
+// candidates try one after another. A holder that lately took long to answer gets more
+// time, as one that is slow goes on granting tokens.
 func (c *Client) monitor(ctx context.Context, now time.Time, lease *Lease, record *kinds.Allocator) {
-	callCtx, cancel := context.WithTimeout(ctx, leaseInterval)
+	callCtx, cancel := context.WithTimeout(ctx, max(leaseInterval, min(slowFactor*c.Mesh.RoundTrip(record.Holder), maxPatience)))
 	defer cancel()
 	var answer promised
 	err := c.Mesh.Call(callCtx, record.Holder, wire.KindHolding, promise{Shard: record.Shard, Term: record.Term, Zone: record.Zone}, &answer)
