Believe a refusal without an ID only on a new connection

Cause: a rejection without an ID was taken for the one of the request at hand. Class: bytes believed by their place instead of by their name.

Change: the pool accepts such a rejection only as the first response of a new connection, and closes it then. On a used connection it discards it and waits for the response that names the request; a request that may be repeated is sent on a new connection instead. For ten seconds calls to that address use new connections, so a rejection is again certain.

A request on a used connection whose own refusal has no name waits for its time limit, once for each address in ten seconds.

--- a/internal/conn/pool/endless_test.go
+++ b/internal/conn/pool/endless_test.go
@@ -117,7 +117,12 @@
 		return nil, err
 	}
 	return s.pool.Do(ctx, &Call{
-		Accept:        func(response *http.Response) bool { return response.Header.Get("X-Other") == "" },
+		Accept: func(response *http.Response) Match {
+			if response.Header.Get("X-Other") != "" {
+				return Other
+			}
+			return Matched
+		},
 		Deadline:      time.Now().Add(endlessDeadline),
 		HeaderTimeout: endlessDeadline,
 		Request:       request,
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -22,7 +22,9 @@
 	responseStarted bool          // whether a part of a response has been read
 	pool            *Pool
 	response        *http.Response // set by accept
+	skipped         int            // responses that were discarded
 	stop            func() bool    // detaches the call's context from the connection
+	unnamed         bool           // one of them did not name its request
 	upload          conc.WaitGroup
 }
 
@@ -35,7 +37,6 @@
 	if err := e.send(); err != nil {
 		return nil, err
 	}
-	skipped := 0
 	for e.headsBytes < maxHeadsBytes {
 		if err := e.setHeaderDeadline(); err != nil {
 			return nil, err
@@ -54,12 +55,9 @@
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("the answer switches protocols")
 		case response.StatusCode < http.StatusOK:
-		case e.call.Accept == nil || e.call.Accept(response):
+		case e.belongs(time.Now(), response):
 			return e.accept(response)
 		default:
-			if skipped++; skipped > maxSkipped {
-				return nil, errMismatch
-			}
 			if err := e.skip(response); err != nil {
 				return nil, err
 			}
@@ -68,6 +66,28 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// belongs reports whether a final response belongs to the request. One that does not name
+// its request does if nothing else was sent or received on the connection. No further
+// request is sent on it, as a copy of the response may follow; and none on other used
+// connections to the address for a time, where such responses could not be told apart.
+func (e *exchange) belongs(now time.Time, response *http.Response) bool {
+	if e.call.Accept == nil {
+		return true
+	}
+	switch e.call.Accept(response) {
+	case Matched:
+		return true
+	case Unnamed:
+		e.pool.avoidReuse(now, e.call.To)
+		if e.conn.idleTime == 0 && e.skipped == 0 {
+			response.Close = true
+			return true
+		}
+		e.unnamed = true
+	}
+	return false
+}
+
 // awaitResponse waits for the first byte of a response. If none comes within the time limit,
 // idle connections to the same address may not work either, and are closed.
 func (e *exchange) awaitResponse() error {
@@ -97,9 +117,16 @@
 }
 
 // skip reads and discards a response to another request. It returns errMismatch
-// if no other response can follow on the connection, or if the body has more than
-// maxSkippedBytes.
+// if no other response can follow on the connection, if the body has more than
+// maxSkippedBytes or after maxSkipped responses, and ErrUnnamed if the response does not
+// name its request and the call can be repeated.
 func (e *exchange) skip(response *http.Response) error {
+	if e.unnamed && e.call.Repeatable {
+		return ErrUnnamed
+	}
+	if e.skipped++; e.skipped > maxSkipped {
+		return errMismatch
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.Close {
 		return errMismatch
 	}
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -46,6 +46,25 @@
 // encoding, so that its end cannot be told from a broken connection.
 var ErrUnframed = errors.New("the answer has neither a length nor chunks")
 
+// ErrUnnamed means that a response names no request and came on a connection that was used
+// before, so that it may belong to another request.
+var ErrUnnamed = errors.New("the answer does not name its request")
+
+// Match tells whether a response belongs to a request.
+type Match int
+
+// Matches of a response.
+const (
+	// Matched means that the response belongs to the request.
+	Matched Match = iota
+	// Other means that it belongs to another request. It is discarded, and the next
+	// response is read.
+	Other
+	// Unnamed means that it does not name its request. It may be a copy of an earlier
+	// response, unless it is the first one on its connection. It is discarded if it is not.
+	Unnamed
+)
+
 // Dialer opens connections. It is implemented by *net.Dialer.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -82,10 +101,9 @@
 	// Request is sent unchanged. Its body is read in another goroutine, which may
 	// still be in a Read when the response's body is closed.
 	Request *http.Request
-	// Accept reports by the status and the header whether a response belongs to
-	// the request. A response that does not is discarded, and the next one is
-	// read. Nil accepts all responses.
-	Accept func(response *http.Response) bool
+	// Accept tells by the status and the header whether a response belongs to
+	// the request. Nil means that all responses do.
+	Accept func(response *http.Response) Match
 	// AwaitContinue delays the body until the server sends 100 Continue. The caller
 	// sets the Expect header.
 	AwaitContinue bool
@@ -104,6 +122,9 @@
 	// OnSilence is called when the server has been silent for HeaderTimeout, and reports
 	// whether to wait on until the deadline. Nil means not to.
 	OnSilence func() bool
+	// Repeatable ends the call with ErrUnnamed after an Unnamed response that may belong to
+	// another request. Otherwise the call waits for another response until its deadline.
+	Repeatable bool
 	// Resent is set if the request has been sent to the address before. It is then sent on
 	// a new connection: on the earlier one a second copy of the answer to the first time
 	// may still come, which cannot be told from the answer to this time.
@@ -196,6 +217,7 @@
 			err = ctx.Err()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			p.closeIdle(call.To)
+		case errors.Is(err, ErrUnnamed):
 		case c.idleTime >= minIdleLimit && !e.responseStarted:
 			stale = true
 			p.lowerIdleLimit(time.Now(), call.To, c.idleTime)
@@ -211,7 +233,18 @@
 func (p *Pool) lowerIdleLimit(now time.Time, to netip.AddrPort, idleTime time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idleLimits[to] = idleLimit{max: max(min(idleTime, p.idleLimitFor(now, to))/2, minIdleLimit), until: now.Add(idleLimitTTL)}
+	limit := p.idleLimitFor(now, to)
+	if limit == 0 {
+		return // set by avoidReuse
+	}
+	p.idleLimits[to] = idleLimit{max: max(min(idleTime, limit)/2, minIdleLimit), until: now.Add(idleLimitTTL)}
+}
+
+// avoidReuse makes calls to an address use new connections for idleLimitTTL.
+func (p *Pool) avoidReuse(now time.Time, to netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idleLimits[to] = idleLimit{until: now.Add(idleLimitTTL)}
 }
 
 // idleLimitFor returns how long a connection to an address may be idle and still
--- a/internal/process/member/agent.go
+++ b/internal/process/member/agent.go
@@ -23,8 +23,8 @@
 	// considers itself cut off from the other nodes.
 	isolatedAfter = 1500 * time.Millisecond
 	// newsDelay is how long a node collects records before it sends them on together.
-	newsDelay      = 10 * time.Millisecond
-	pingInterval   = time.Second
+	newsDelay    = 10 * time.Millisecond
+	pingInterval = time.Second
 	// pingTimeout limits the wait for an answer. At a peer that lately took longer, it is
 	// slowFactor times that, and at most maxPingTimeout.
 	pingTimeout    = 800 * time.Millisecond
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -17,7 +17,7 @@
 	tokens         float64
 	immediate      immediateGrants
 	slow           immediateGrants // immediate tokens of nodes that wait longer than askTimeout
-	updated        time.Time // last refill
+	updated        time.Time       // last refill
 }
 
 // grant records how many tokens a node may hold, and until when.
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -86,7 +86,7 @@
 type Client struct {
 	Options
 	asks   *expvar.Map // Asks, by outcome
-	leases []*Lease // by shard
+	leases []*Lease    // by shard
 	cache  *Cache
 	busy   []atomic.Bool // by shard: whether a round maintains it
 	// createAfter is the time, by shard, before which the node does not create the
--- a/internal/request/relay/dialect.go
+++ b/internal/request/relay/dialect.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/wasabibend/wasabibend/internal/conn/pool"
 	"github.com/wasabibend/wasabibend/internal/request/chain"
 	"github.com/wasabibend/wasabibend/pkg/refuse"
 )
@@ -50,6 +51,19 @@
 	AddressReused bool
 	// Mismatched is set if the response belongs to another request.
 	Mismatched bool
+	// Unnamed is set if the response does not name the request to which it belongs.
+	Unnamed bool
+}
+
+// match returns whether the response belongs to the request.
+func (i *ResponseInfo) match() pool.Match {
+	switch {
+	case i.Mismatched:
+		return pool.Other
+	case i.Unnamed:
+		return pool.Unnamed
+	}
+	return pool.Matched
 }
 
 // Dialect defines the headers and statuses by which callers and the upstream
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -239,15 +239,16 @@
 	var info ResponseInfo
 	lc.setHeaders(request)
 	response, err := lc.relay.Pool.Do(lc.ctx, &pool.Call{
-		Accept: func(response *http.Response) bool {
+		Accept: func(response *http.Response) pool.Match {
 			info = lc.relay.Dialect.ReadResponse(request.Header, response)
-			return !info.Mismatched
+			return info.match()
 		},
 		Deadline:        lc.deadline,
 		MaxIdleTime:     lc.maxIdleTime(),
 		BodyIdleTimeout: lc.relay.Idle,
 		Request:         request,
 		HeaderTimeout:   lc.relay.FirstByte,
+		Repeatable:      lc.running.Chain.Idempotent,
 		Resent:          again,
 		To:              lc.address,
 		AllowUnframed:   lc.relay.Catalog != nil,
@@ -280,12 +281,13 @@
 }
 
 // mayRetryError reports whether a request that failed with err is sent again, because
-// the upstream seems to have dropped the reused connection without having crashed.
+// the upstream seems to have dropped the reused connection without having crashed, or its
+// response did not name the request.
 // This applies to idempotent requests without a body, within the retry limits.
 func (lc *localCall) mayRetryError(now time.Time, request *http.Request, err error, tries int) bool {
 	c := &lc.running.Chain
 	var sendErr *pool.SendError
-	if !errors.As(err, &sendErr) || !sendErr.StaleConnection || !c.Idempotent || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil {
+	if !errors.As(err, &sendErr) || !sendErr.StaleConnection && !errors.Is(err, pool.ErrUnnamed) || !c.Idempotent || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil {
 		return false
 	}
 	return acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
