Take no request in a planned stop that would not end in time

Cause: a stopping node took requests for 3.3 s of the 6, and the node beside the upstream for 3.0 s, whatever they might take. Class: work taken that cannot be finished.

Change: a stopping node refuses a request, as not run, if the longest that those of its route took in the last 15 to 30 s, or its time limit where there were none, does not fit into what is left of the drain time. It does so at the entry and at the gate, where the other nodes then send the call elsewhere. Calls that the upstream makes for requests in flight are served as before.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -32,9 +32,12 @@
 )
 
 const (
-	drainPoll     = 20 * time.Millisecond
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
+	drainPoll = 20 * time.Millisecond
+	// lastNewsTimeout limits how long a node that has drained waits for neighbours that do
+	// not take its last message, as it is killed when the grace time is over.
+	lastNewsTimeout = 300 * time.Millisecond
+	headerTimeout   = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
 	// probePoll is the interval of the checks whether the upstream can be probed,
 	// and of the probes.
 	probePoll     = 100 * time.Millisecond
@@ -363,7 +366,8 @@
 // drain stops serving without interrupting requests, within the drain time of the
 // settings. First the node keeps serving for the lame-duck time, while callers and
 // other nodes learn that it is leaving; near its end it marks the upstream beside
-// it as draining and sends it no new requests. Then it refuses new requests of
+// it as draining and sends it no new requests. All the while it refuses requests that would
+// probably not end within the drain time. Then it refuses new requests of
 // callers and waits for those in flight, which include the calls that the upstream
 // makes to serve them. Meanwhile it hands its allocators over to other nodes. At
 // the end it tells its neighbours that it is dead.
@@ -372,6 +376,9 @@
 	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Load().Drain)
 	defer cancel()
 	n.leaving.Store(true)
+	if end, ok := drainCtx.Deadline(); ok {
+		n.relay.FinishBy(end)
+	}
 	n.relay.DisableKeepAlives()
 	n.agent.SendToNeighbours(ctx, []member.Record{n.table.SetSelfLeaving(time.Now())})
 	var handover conc.WaitGroup
@@ -399,7 +406,9 @@
 		}
 	}
 	n.awaitIdle(drainCtx)
-	n.agent.SendToNeighbours(ctx, []member.Record{n.table.SetSelfDead(time.Now())})
+	lastCtx, cancelLast := context.WithTimeout(ctx, lastNewsTimeout)
+	defer cancelLast()
+	n.agent.SendToNeighbours(lastCtx, []member.Record{n.table.SetSelfDead(time.Now())})
 }
 
 // shutdownServer shuts down the callers' server without losing requests. It accepts
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -34,10 +34,6 @@
 
 // rootCall returns the call of an admitted request of a caller.
 func (r *Relay) rootCall(now time.Time, p *policy, info CallerInfo) *call {
-	timeout := p.timeout
-	if info.Timeout > 0 {
-		timeout = min(timeout, info.Timeout)
-	}
 	c := &call{
 		maxAttempts: p.maxAttempts,
 		budget:      chain.NewBudget(p.retries),
@@ -49,7 +45,7 @@
 			Service:    p.service,
 			Weight:     p.weight,
 		},
-		deadline:   now.Add(timeout),
+		deadline:   now.Add(p.longest(info)),
 		idempotent: p.idempotent,
 		maxBody:    p.maxBody,
 		received:   now,
@@ -67,6 +63,14 @@
 	return c
 }
 
+// longest returns the longest time that a request of a caller may take.
+func (p *policy) longest(info CallerInfo) time.Duration {
+	if info.Timeout > 0 {
+		return min(p.timeout, info.Timeout)
+	}
+	return p.timeout
+}
+
 // subCall returns the call that the local upstream makes for a request that it is
 // running, or a refusal.
 func (r *Relay) subCall(now time.Time, req *http.Request, running *chain.RunningRequest) (*call, *refuse.Refusal) {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -130,12 +130,14 @@
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
 	deadline time.Time
-	instance string // ID of the upstream's instance, empty if unknown
-	relay    *Relay
-	running  *chain.RunningRequest
-	span     trace.Span
-	ticket   *gates.Ticket
-	token    string
+	// enteredAt is when the call came to the gate.
+	enteredAt time.Time
+	instance  string // ID of the upstream's instance, empty if unknown
+	relay     *Relay
+	running   *chain.RunningRequest
+	span      trace.Span
+	ticket    *gates.Ticket
+	token     string
 }
 
 // enterGate waits until the gate admits a call, or returns a refusal. The parameter
@@ -145,6 +147,9 @@
 	if r.gateClosed.Load() {
 		return nil, refuse.New(refuse.Draining, defaultRetryAfter, "the upstream's node is leaving")
 	}
+	if !r.mayFinish(now, r.callDurations, durationName(c), c.Remaining) {
+		return nil, refuse.New(refuse.Draining, defaultRetryAfter, "the upstream's node ends before the request would")
+	}
 	address, instance, ok := r.Local.Upstream(c.Service)
 	if !ok {
 		return nil, refuse.New(refuse.NoUpstream, defaultRetryAfter, "the upstream takes no requests")
@@ -172,7 +177,7 @@
 		r.Gate.Abandon(time.Now(), ticket)
 		return nil, refuse.New(refuse.Overloaded, suspectRetryAfter, "another request that may crash the upstream runs there")
 	}
-	lc := &localCall{address: address, deadline: deadline, instance: instance, relay: r, ticket: ticket}
+	lc := &localCall{address: address, deadline: deadline, enteredAt: now, instance: instance, relay: r, ticket: ticket}
 	ctx, lc.cancel = context.WithCancelCause(ctx)
 	lc.ctx, lc.span = r.Tracer.Start(spans.Context(ctx, c), "upstream")
 	lc.running = &chain.RunningRequest{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: lc.ctx, Deadline: deadline}
@@ -187,6 +192,14 @@
 	return lc, nil
 }
 
+// durationName returns the name under which the durations of a call are kept.
+func durationName(c *chain.Chain) string {
+	if c.Route != "" {
+		return c.Route
+	}
+	return c.Service
+}
+
 // call sends the request to the upstream, and retries it where mayRetryError or
 // mayRetryResponse allows. It returns the response, or a refusal, and the unused
 // retries.
@@ -394,7 +407,9 @@
 	lc.relay.tokens.Revoke(lc.token)
 	lc.cancel(nil)
 	lc.relay.Crashes.End(lc.running.Chain.Fingerprint, !failed)
-	lc.relay.Gate.Leave(time.Now(), lc.ticket, failed)
+	now := time.Now()
+	lc.relay.Gate.Leave(now, lc.ticket, failed)
+	lc.relay.callDurations.record(now, durationName(&lc.running.Chain), now.Sub(lc.enteredAt))
 	lc.span.End()
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -155,6 +155,9 @@
 	inFlight           atomic.Int64
 	gateClosed         atomic.Bool
 	entryClosed        atomic.Bool
+	callDurations      *durations // of calls to the local upstream, by route or service
+	finishBy           atomic.Pointer[time.Time]
+	rootDurations      *durations // of callers' requests, by route
 	keepAlivesDisabled atomic.Bool
 	proofs             sync.Map            // of the fleet's secret: netip.AddrPort to string
 	callRetries        *chain.RetryLimiter // of calls to nodes
@@ -176,11 +179,13 @@
 		Options:            options,
 		admission:          admit.New(),
 		balancer:           NewBalancer(options.Self, options.Zone),
+		callDurations:      newDurations(),
 		callees:            newCallees(),
 		callRetries:        chain.NewRetryLimiter(),
 		localRetries:       chain.NewRetryLimiter(),
 		weightedRoundRobin: newWeightedRoundRobin(),
 		deniedRetries:      newDeniedRetries(),
+		rootDurations:      newDurations(),
 		tokens:             chain.NewTokens(),
 	}
 	r.calls.Store(rand.Uint64())
@@ -276,6 +281,10 @@
 		r.rejectCaller(w, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node is about to end"))
 		return
 	}
+	if !p.subCall && !r.mayFinish(now, r.rootDurations, p.route, p.longest(info)) {
+		r.rejectCaller(w, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node ends before the request would"))
+		return
+	}
 	done, refusal := r.admitCaller(req.Context(), now, &p)
 	if refusal != nil {
 		r.rejectCaller(w, id, &p, refusal)
@@ -300,6 +309,9 @@
 	refusal, status := r.serve(w, req, c)
 	took := time.Since(now)
 	r.Stats.Observe(p.route, p.customer, took)
+	if refusal == nil {
+		r.rootDurations.record(now.Add(took), p.route, took)
+	}
 	if refusal != nil {
 		r.logRefused(now.Add(took), id, &p, refusal)
 		return
