--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -217,7 +217,6 @@
 			err = ctx.Err()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			p.closeIdle(call.To)
-		case errors.Is(err, ErrUnnamed):
 		case c.idleTime >= minIdleLimit && !e.responseStarted:
 			stale = true
 			p.lowerIdleLimit(time.Now(), call.To, c.idleTime)
--- a/internal/process/member/agent_test.go
+++ b/internal/process/member/agent_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
 	"github.com/wasabibend/wasabibend/internal/fakes/mesh"
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 )
@@ -217,29 +218,32 @@
 // TestSlowNodes guards against nodes that take each other for dead, or do not pass changes
 // on, because they answer slowly, as on hosts that are short of processor.
 func TestSlowNodes(t *testing.T) {
-	for _, delay := range []time.Duration{100 * time.Millisecond, 450 * time.Millisecond} {
-		t.Run(delay.String(), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				s := newCluster(ctx, t, 30)
-				time.Sleep(20 * time.Second)
-				s.net.SetDelay(delay)
-				time.Sleep(10 * time.Second)
-				s.nodes[3].feeds[0].Apply(snaps.Delta{Revision: 7})
-				s.nodes[3].Announce(ctx)
-				time.Sleep(20 * time.Second)
-				for _, a := range s.nodes {
-					assert.Equal(t, len(a.table.Dead()), 0)
-					for _, r := range a.table.View().All() {
-						assert.Equal(t, r.Health, Alive)
-					}
-					assert.Equal(t, a.feeds[0].Snapshot().Revision(), uint64(7))
-				}
-				cancel()
-				time.Sleep(time.Minute)
-			})
-		})
+	steps.Cases(t, "testdata/slow.csv", func(t *testing.T, record []string) {
+		t.Parallel()
+		delay, err := time.ParseDuration(record[1])
+		assert.NilError(t, err)
+		synctest.Test(t, func(t *testing.T) { runSlowNodes(t, delay) })
+	})
+}
+
+// runSlowNodes makes the messages in a fleet slow, and then changes a feed.
+func runSlowNodes(t *testing.T, delay time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := newCluster(ctx, t, 30)
+	time.Sleep(20 * time.Second)
+	s.net.SetDelay(delay)
+	time.Sleep(10 * time.Second)
+	s.nodes[3].feeds[0].Apply(snaps.Delta{Revision: 7})
+	s.nodes[3].Announce(ctx)
+	time.Sleep(20 * time.Second)
+	for _, a := range s.nodes {
+		assert.Equal(t, len(a.table.Dead()), 0)
+		for _, r := range a.table.View().All() {
+			assert.Equal(t, r.Health, Alive)
+		}
+		assert.Equal(t, a.feeds[0].Snapshot().Revision(), uint64(7))
 	}
+	cancel()
+	time.Sleep(time.Minute)
 }
--- a/internal/process/quota/allocator.go
+++ b/internal/process/quota/allocator.go
@@ -29,9 +29,9 @@
 	// ImmediateGrantTTL is how long an allocator counts immediate tokens as
 	// unused, unless the node has to wait longer for the answer.
 	ImmediateGrantTTL = 200 * time.Millisecond
-	// askTimeout is how long a node waits for the answer to an Ask, unless the allocator's
-	// node lately took longer. It is
-	// shorter than ImmediateGrantTTL to allow for clock drift between nodes.
+	// askTimeout is how long a node waits for the answer to an Ask, unless the holder
+	// lately took longer. It is shorter than ImmediateGrantTTL to allow for clock drift
+	// between nodes.
 	askTimeout = ImmediateGrantTTL * 9 / 10
 	// nodeGrantTTL is how long a node uses held tokens after it asked for them.
 	// It is shorter than GrantTTL to allow for clock drift between nodes.
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -85,10 +85,10 @@
 // the shards whose allocators the node holds.
 type Client struct {
 	Options
-	asks   *expvar.Map // Asks, by outcome
-	leases []*Lease    // by shard
-	cache  *Cache
+	asks   *expvar.Map   // by outcome
 	busy   []atomic.Bool // by shard: whether a round maintains it
+	leases []*Lease      // by shard
+	cache  *Cache
 	// createAfter is the time, by shard, before which the node does not create the
 	// allocator. Only the goroutine that maintains a shard uses its element.
 	createAfter []time.Time
