Give each round of the lease loop its own time

Since rounds no longer wait for all shards, a shard that is still maintained read the loop's variable while the next round wrote it (found by the race detector). The value read was the time of a later round; nothing was seen to go wrong by it. The race detector itself aborts on this package's tests in virtual time, on too, so a clean run of it is not shown; on member, relay, pool and links it is clean.

--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -23,12 +23,13 @@
 	defer c.workers.Wait()
 	var shards conc.WaitGroup
 	defer shards.Wait()
-	now := time.Now()
+	lastRound := time.Now()
 	for round := 1; ; round++ {
-		if !c.awaitRound(ctx, now) {
+		if !c.awaitRound(ctx, lastRound) {
 			return
 		}
-		now = time.Now()
+		now := time.Now()
+		lastRound = now
 		for shard, lease := range c.leases {
 			if !c.busy[shard].CompareAndSwap(false, true) {
 				continue
