Take a connection that the node has closed for one without a caller

Cause: callerClosed answered "not closed" when the descriptor could not be polled because this node had closed it. net/http ends a request without a body as soon as its caller's close arrives, and closes the connection; a loop that asked afterwards whether the caller had left never got a yes. In the product the same answer let a request be sent on whose connection the node itself had closed. Class: an error read as "no".

TestClosedConnectionHasNoCaller failed before.

--- a/internal/request/relay/caller.go
+++ b/internal/request/relay/caller.go
@@ -86,8 +86,9 @@
 }
 
 // callerClosed reports whether the caller has closed its side of the connection
-// in ctx; without one it returns false. net/http does not notice this while a
-// pipelined request or a part of the request's body is unread on the connection.
+// in ctx, or this node its own; without a connection it returns false. net/http does
+// not notice the caller's close while a pipelined request or a part of the request's
+// body is unread on the connection.
 func callerClosed(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
@@ -98,10 +99,12 @@
 		return false
 	}
 	closed := false
-	err = raw.Control(func(fd uintptr) {
+	if err := raw.Control(func(fd uintptr) {
 		polled := []unix.PollFd{{Events: unix.POLLRDHUP, Fd: int32(fd)}}
 		n, err := unix.Poll(polled, 0)
 		closed = err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return err == nil && closed
+	}); err != nil {
+		return errors.Is(err, net.ErrClosed)
+	}
+	return closed
 }
--- a/internal/request/relay/caller_test.go
+++ b/internal/request/relay/caller_test.go
@@ -30,3 +30,20 @@
 	}
 	assert.Check(t, !callerClosed(context.Background()), "an unknown connection counts as open")
 }
+
+// TestClosedConnectionHasNoCaller guards against requests that are still sent on, and waits
+// that do not end, after this node has closed the connection of their caller.
+func TestClosedConnectionHasNoCaller(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	ctx := CallerContext(t.Context(), conn)
+	assert.Check(t, !callerClosed(ctx))
+	assert.NilError(t, conn.Close())
+	assert.Check(t, callerClosed(ctx))
+}
