Tell callers that a node without the secret has run nothing

Callers saw 502 (BadAnswer, may have run) for requests that were sent to a node that had just been restarted while the platform's store was away. Such a node does not know the fleet's secret and answered 403 without the number of the call, which the sender had to take for the answer to another call; a request that may run only once was lost. Class: a certain answer that reads as an uncertain one.

Change: a node that does not know the secret answers with the number of the call and NoUpstream, not run, so that the sender tries another node. A sender with a wrong secret gets 403 as before.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -42,7 +42,7 @@
 	now := time.Now()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	if !fleet.Verify(req.Header, r.proofFor(r.Self)) {
+	if r.Secret.Known() && !fleet.Verify(req.Header, r.proofFor(r.Self)) {
 		http.Error(w, "the fleet's secret is wrong", http.StatusForbidden)
 		return
 	}
@@ -52,6 +52,11 @@
 		return
 	}
 	w.Header()[chain.HeaderAnswer] = []string{callID(c)}
+	if !r.Secret.Known() {
+		// The sender is not verified, but may be told that nothing has run here.
+		r.refusePeer(w, c, c.Retries, refuse.New(refuse.NoUpstream, defaultRetryAfter, "the node has just started and does not know the fleet's secret"))
+		return
+	}
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	if req.ContentLength != 0 {
