Give the secret to a restarted node as soon as it refuses a link

Cause: the secret is kept in the platform's store, and was offered only to nodes that count as dead, which a node that is restarted within a second does not for two to three seconds. Class: a remedy that waits for a verdict, although the fault is known by another sign. Ruled out: slow peers (58 nodes answered their status at once), the wait for a feed (the configuration came within 0.1 s of the secret).

Change: a node whose link is refused with 403 by a member of the fleet offers it the secret at once, twice a second at most for each node. The refusal is what a node without the secret has always answered, so this works with earlier builds on either side.

--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -65,6 +65,7 @@
 	client       *http.Client
 	handlers     map[wire.Kind]Handler
 	log          zerolog.Logger
+	onRefused    func(peer netip.AddrPort)
 	secret       *fleet.Secret
 	self         netip.AddrPort
 	slowHandlers map[wire.Kind]Handler
@@ -94,6 +95,12 @@
 	return func(m *Mesh) { m.log = log }
 }
 
+// WithRefused sets a function that is called when a node refuses a link because it does not
+// know the fleet's secret, or another one. It must not block.
+func WithRefused(onRefused func(peer netip.AddrPort)) Option {
+	return func(m *Mesh) { m.onRefused = onRefused }
+}
+
 // WithSource sets the local address of the mesh's connections. An invalid address
 // has no effect.
 func WithSource(source netip.Addr) Option {
@@ -113,6 +120,7 @@
 		handlers:     make(map[wire.Kind]Handler),
 		links:        make(map[netip.AddrPort]*link),
 		log:          zerolog.Nop(),
+		onRefused:    func(netip.AddrPort) {},
 		opening:      make(map[netip.AddrPort]chan struct{}),
 		secret:       secret,
 		self:         self,
@@ -336,8 +344,11 @@
 	header := http.Header{}
 	header.Set(fleet.Header, m.secret.Proof(to))
 	header.Set(headerFrom, m.self.String())
-	conn, _, err := websocket.Dial(ctx, "ws://"+to.String()+Path, &websocket.DialOptions{HTTPClient: m.client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled})
+	conn, response, err := websocket.Dial(ctx, "ws://"+to.String()+Path, &websocket.DialOptions{HTTPClient: m.client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
+		if response != nil && response.StatusCode == http.StatusForbidden {
+			m.onRefused(to)
+		}
 		return nil, trace.ConnectionProblem(err, "cannot open a link to %v", to)
 	}
 	return conn, nil
--- a/internal/process/node/adopt.go
+++ b/internal/process/node/adopt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,7 +23,8 @@
 const pathAdopt = "/adopt"
 
 const (
-	// offerInterval is the interval at which the secret is offered to dead nodes.
+	// offerInterval is the interval at which the secret is offered to dead nodes. It is
+	// also the minimum interval between the offers to a node that refuses links.
 	offerInterval = 500 * time.Millisecond
 	// offerPeriod is how long the secret is offered to a node after its death. It
 	// is several times as long as a host takes to restart a node.
@@ -55,6 +57,49 @@
 	return nil
 }
 
+// offers records when the secret was offered to nodes that refuse links.
+type offers struct {
+	mu sync.Mutex
+	at map[netip.AddrPort]time.Time
+}
+
+func newOffers() *offers {
+	return &offers{at: make(map[netip.AddrPort]time.Time)}
+}
+
+// begin reports whether the secret may be offered to a node, and records that it is. It
+// returns false if the last offer to the node began less than offerInterval ago.
+func (o *offers) begin(now time.Time, peer netip.AddrPort) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Sub(o.at[peer]) < offerInterval {
+		return false
+	}
+	for other, at := range o.at {
+		if now.Sub(at) >= offerInterval {
+			delete(o.at, other)
+		}
+	}
+	o.at[peer] = now
+	return true
+}
+
+// newOfferClient returns an HTTP client for offers. They are rare, so that it keeps no
+// connections.
+func newOfferClient() *http.Client {
+	return &http.Client{Timeout: offerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// linkRefused offers the secret in the background to a node of the fleet that refused a
+// link. It has probably been restarted, and the platform does not answer: it lacks the
+// secret long before the others take it for dead.
+func (n *Node) linkRefused(now time.Time, peer netip.AddrPort) {
+	if _, known := n.table.Zone(peer); !known || !n.secretStored || !n.settings.Load().Secret.Known() || n.ctx.Err() != nil || !n.offers.begin(now, peer) {
+		return
+	}
+	n.spawn("offer of the secret", func() { n.offerSecret(n.ctx, newOfferClient(), peer) })
+}
+
 // offerSecrets regularly offers the secret of the fleet to nodes of the availability
 // zone that died recently. Such a node may have been restarted while the platform
 // does not answer, and then it can neither read the secret nor find other nodes. It
@@ -63,7 +108,7 @@
 	if !n.secretStored {
 		return
 	}
-	client := &http.Client{Timeout: offerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newOfferClient()
 	for sleep(ctx, offerInterval) {
 		if !n.settings.Load().Secret.Known() {
 			continue
@@ -94,8 +139,8 @@
 	return before < offerers
 }
 
-// offerSecret sends the secret to a dead node. Usually the node is still down, so a
-// failed request is logged at debug level only.
+// offerSecret sends the secret to a node that is dead or refuses links. A dead node is
+// usually still down, so a failed request is logged at debug level only.
 func (n *Node) offerSecret(ctx context.Context, client *http.Client, to netip.AddrPort) {
 	body, err := wire.Encode(&adoption{From: n.settings.Load().Peers, Secret: n.settings.Load().Secret.Text()})
 	if err != nil {
@@ -109,7 +154,7 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		n.log.Debug().Err(err).Stringer("Peer", to).Msg("offering the secret to a dead node failed")
+		n.log.Debug().Err(err).Stringer("Peer", to).Msg("offering the secret to a node failed")
 		return
 	}
 	defer response.Body.Close()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,7 @@
 	gate        *gates.Gate
 	log         zerolog.Logger
 	mesh        *links.Mesh
+	offers      *offers
 	requestLog  *relay.RequestLog
 	pool        *pool.Pool
 	quota       *quota.Client
@@ -172,7 +174,7 @@
 		ctx:         ctx,
 		gate:        gates.NewGate(gates.NewGradient()),
 		log:         log,
-		mesh:        links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source)),
+		offers:      newOffers(),
 		pool:        pool.New(pool.WithSource(settings.Source)),
 		flushSpans:  flushSpans,
 		stats:       stats.New(),
@@ -180,6 +182,8 @@
 		table:       member.NewTable(now, member.Record{Peers: settings.Peers, Readiness: member.Absent, Zone: settings.Zone}),
 		version:     version,
 	}
+	n.mesh = links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source),
+		links.WithRefused(func(peer netip.AddrPort) { n.linkRefused(time.Now(), peer) }))
 	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored))
 	n.settings.Store(settings)
 	n.reloaded.Store(&reloadState{at: now})
