Read once whether the secret is known when a call is verified

Since ServePeer asked twice whether the node knows the fleet's secret. If it became known in between, a call that had not been verified was served. Not seen in a run; class: a check and its use that read a state twice. Change: it is read once, and a call that came before the secret was known is refused as not run.

Ruled out elsewhere: links verify with one read (an empty proof is never valid). The interval between the two reads cannot be hit by a test without a hook, so that this has no test of its own; TestCallWithoutSecret and TestRestartedNodeGetsSecret pass. linkRefused's condition is split in two, without a change of what it does.

--- a/internal/process/node/adopt.go
+++ b/internal/process/node/adopt.go
@@ -94,7 +94,10 @@
 // link. It has probably been restarted, and the platform does not answer: it lacks the
 // secret long before the others take it for dead.
 func (n *Node) linkRefused(now time.Time, peer netip.AddrPort) {
-	if _, known := n.table.Zone(peer); !known || !n.secretStored || !n.settings.Load().Secret.Known() || n.ctx.Err() != nil || !n.offers.begin(now, peer) {
+	if !n.secretStored || !n.settings.Load().Secret.Known() || n.ctx.Err() != nil {
+		return
+	}
+	if _, member := n.table.Zone(peer); !member || !n.offers.begin(now, peer) {
 		return
 	}
 	n.spawn("offer of the secret", func() { n.offerSecret(n.ctx, newOfferClient(), peer) })
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -42,7 +42,9 @@
 	now := time.Now()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	if r.Secret.Known() && !fleet.Verify(req.Header, r.proofFor(r.Self)) {
+	// The secret may become known at any time. It is read once, so that no call passes unverified.
+	secretKnown := r.Secret.Known()
+	if secretKnown && !fleet.Verify(req.Header, r.proofFor(r.Self)) {
 		http.Error(w, "the fleet's secret is wrong", http.StatusForbidden)
 		return
 	}
@@ -52,7 +54,7 @@
 		return
 	}
 	w.Header()[chain.HeaderAnswer] = []string{callID(c)}
-	if !r.Secret.Known() {
+	if !secretKnown {
 		// The sender is not verified, but may be told that nothing has run here.
 		r.refusePeer(w, c, c.Retries, refuse.New(refuse.NoUpstream, defaultRetryAfter, "the node has just started and does not know the fleet's secret"))
 		return
