Count how callers' connections are closed, and what was on them

Nothing told who closed a connection and in what state it was, so the hypotheses of the incident could not be told apart. The listener's connections now record the reason (the caller, a response, the idle limit, the end of the node, a timeout) and whether a handler had started, a part of a request had been read or bytes were unread. The counters are in the metrics as ClosedConns and in the line 'node stopped'. No connection is closed differently. Tests of conns and node pass (arm64).

--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -4,6 +4,7 @@
 package conns
 
 import (
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -32,19 +33,25 @@
 // Tracker tracks the connections of a server. It is safe for concurrent use. No
 // other lock is acquired while its lock is held.
 type Tracker struct {
-	nearLimit   atomic.Bool
+	closed      *expvar.Map
 	descriptors int // file descriptors that the process may open
+	nearLimit   atomic.Bool
 
 	mu            sync.Mutex
-	awaitingFirst map[net.Conn]time.Time // opening times of the connections without a request yet
-	idle          map[net.Conn]time.Time // since when, for the connections without a request in progress
+	awaitingFirst map[*Conn]time.Time // opening times of the connections without a request yet
+	idle          map[*Conn]time.Time // since when, for the connections without a request in progress
 	open          int
 }
 
 // NewTracker returns a Tracker for a process that may open the given number of
 // file descriptors.
 func NewTracker(descriptors int) *Tracker {
-	return &Tracker{awaitingFirst: make(map[net.Conn]time.Time), idle: make(map[net.Conn]time.Time), descriptors: descriptors}
+	return &Tracker{
+		awaitingFirst: make(map[*Conn]time.Time),
+		closed:        new(expvar.Map).Init(),
+		descriptors:   descriptors,
+		idle:          make(map[*Conn]time.Time),
+	}
 }
 
 // Descriptors returns the number of file descriptors that the process may open,
@@ -58,9 +65,19 @@
 	return int(min(limit.Cur, maxDescriptors)), nil
 }
 
-// SetState records that a connection has entered a state. It is meant to be called
-// from http.Server.ConnState.
-func (t *Tracker) SetState(now time.Time, conn net.Conn, state http.ConnState) {
+// Closed returns the numbers of connections that were closed, by reason: Answer, Caller,
+// Idle, Stop or Timeout. A suffix tells that a request was on the connection: Started if
+// its handler had started, Partial if a part of it had been read, Unread if bytes were in
+// the kernel's buffer.
+func (t *Tracker) Closed() *expvar.Map {
+	return t.closed
+}
+
+// SetState records that a connection of a Listener has entered a state. It is meant to be
+// called from http.Server.ConnState.
+func (t *Tracker) SetState(now time.Time, accepted net.Conn, state http.ConnState) {
+	conn := accepted.(*Conn)
+	closedAs := conn.setState(state)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.awaitingFirst, conn)
@@ -76,6 +93,7 @@
 	case http.StateClosed, http.StateHijacked:
 		t.open--
 		delete(t.idle, conn)
+		t.closed.Add(closedAs, 1)
 	}
 	t.nearLimit.Store(float64(t.open) >= nearLimitFraction*float64(t.descriptors))
 }
@@ -120,7 +138,7 @@
 	if float64(t.open) >= fullFraction*float64(t.descriptors) {
 		timeout = time.Duration(float64(timeout) * fullIdleFactor)
 	}
-	var expired []net.Conn
+	var expired []*Conn
 	for conn, since := range t.idle {
 		if now.Sub(since) >= timeout {
 			expired = append(expired, conn)
@@ -129,7 +147,7 @@
 	t.mu.Unlock()
 	for _, conn := range expired {
 		// The error is ignored: it means that the connection is closed already.
-		_ = conn.Close()
+		_ = conn.closeAs(closedIdle)
 	}
 	return len(expired)
 }
--- a/internal/conn/conns/conns_test.go
+++ b/internal/conn/conns/conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -15,9 +16,9 @@
 	now := time.Unix(1000, 0)
 	const idle = 10 * time.Second
 	tracker := NewTracker(10)
-	conns := make([]net.Conn, 7)
+	conns := make([]*Conn, 7)
 	for i := range conns {
-		conns[i], _ = net.Pipe()
+		conns[i], _ = connPair(t)
 		tracker.SetState(now, conns[i], http.StateNew)
 		assert.Equal(t, tracker.NearLimit(), i+1 >= 4, "%d open", i+1)
 		if i == 4 {
@@ -34,3 +35,20 @@
 	assert.Equal(t, tracker.CloseIdle(now.Add(9*time.Second), idle), 0)
 	assert.Equal(t, tracker.CloseIdle(now.Add(10*time.Second), idle), 1)
 }
+
+// connPair returns both ends of a TCP connection.
+func connPair(t *testing.T) (*Conn, *net.TCPConn) {
+	t.Helper()
+	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = accepted.Close()
+		_ = client.Close()
+	})
+	return accepted.(*Conn), client.(*net.TCPConn)
+}
--- a/internal/conn/conns/listener.go
+++ b/internal/conn/conns/listener.go
@@ -44,11 +44,15 @@
 	return &Listener{TCPListener: l.(*net.TCPListener), filter: dropSYN}, nil
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. The connections that it returns are of type *Conn.
 func (l *Listener) Accept() (net.Conn, error) {
 	l.accepting.Store(true)
 	defer l.accepting.Store(false)
-	return l.TCPListener.Accept()
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(conn), nil
 }
 
 // Quiesce makes the kernel accept no new connections, and waits until Accept has
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -51,6 +51,7 @@
 	control.Add("Links", int64(n.mesh.Links()))
 	control.Add("SilentLinks", traffic.SilentLinks.Load())
 	all.Set("Control", control)
+	all.Set("ClosedConns", n.conns.Closed())
 	all.Set("Tokens", n.quota.Asks())
 	all.Set("StoreCalls", n.store.Calls())
 	return all
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -356,7 +356,7 @@
 	n.background.Wait()
 	n.claims.Wait()
 	n.mesh.Wait()
-	n.log.Info().Msg("node stopped")
+	n.log.Info().RawJSON("ClosedConns", []byte(n.conns.Closed().String())).Msg("node stopped")
 	flushCtx, flushCancel := context.WithTimeout(context.Background(), spansFlushTimeout)
 	defer flushCancel()
 	return trace.Wrap(n.flushSpans(flushCtx))
