Let only its reader close an idle connection

Callers got neither an answer nor a refusal, though their request had arrived and in part had run.

Cause: check, then act on what has changed since. CloseIdle collected the idle connections under a lock and closed them after it, so a request that started in between was cut; a lower idle limit makes the list long. And net/http calls a connection idle until a request's header has been read whole, so a request in the kernel's buffer (a paused process) or in two parts did not count. http.Server.Shutdown does the same in a planned stop.

Fix: the connection is ended only by the goroutine that reads it. CloseIdle and the new Tracker.Shutdown set a read deadline in the past; the reader then reads once more without waiting, and bytes that have arrived, or arrive before, cancel the end. Tracker.Shutdown lets all connections end so before it calls http.Server.Shutdown. Bytes are also read when any other read deadline has passed, as it may have passed while the process was paused.

The tests of the listener shut down as the node does.

--- a/internal/conn/conns/closing_test.go
+++ b/internal/conn/conns/closing_test.go
@@ -97,7 +97,7 @@
 		h.tracker.CloseIdle(h.now(), 10*time.Second)
 		return
 	}
-	assert.Check(t, h.server.Shutdown(t.Context()))
+	assert.Check(t, h.tracker.Shutdown(t.Context(), h.server))
 }
 
 // closeWhileSending closes the idle connections while the callers send requests. Those that
--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -23,20 +24,23 @@
 // Suffixes of the reasons, for connections that were closed with a request on them.
 const (
 	withPartial = "Partial" // a part of a request had been read
-	withStarted = "Started" // the handler of a request had started
 	withUnread  = "Unread"  // bytes were in the kernel's buffer
 )
 
-// Conn is a connection that a Listener has accepted. It records how it ends. No other lock
-// is acquired while its lock is held.
+// Conn is a connection that a Listener has accepted. Only the goroutine that reads it
+// decides that it is idle and ends it: another one asks for that with end, and the reader
+// looks for bytes once more. No other lock is acquired while its lock is held.
 type Conn struct {
 	*net.TCPConn
 
-	mu       sync.Mutex
-	closedAs string // reason with its suffix, empty while the connection is open
-	idle     bool   // no request is in progress on it
-	readErr  error  // of the last read
-	received bool   // bytes were read since it became idle
+	mu        sync.Mutex
+	closedAs  string // reason with its suffix, empty while the connection is open
+	deadline  time.Time
+	endReason string // why the connection is to be ended once it is idle, empty if it is not
+	idle      bool   // no request is in progress on it
+	idleSince time.Time
+	readErr   error // of the last read
+	received  bool  // bytes were read since it became idle
 }
 
 // newConn returns the Conn of an accepted connection.
@@ -44,57 +48,107 @@
 	return &Conn{TCPConn: conn, idle: true}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. Bytes that have arrived are read even if the read deadline has
+// passed, as it may have passed while the process was paused.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if late, lateErr := c.recv(p, 0); lateErr == nil || errors.Is(lateErr, io.EOF) {
+			n, err = late, lateErr
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readErr = err
-	c.received = c.received || n > 0
+	if n > 0 {
+		c.received = true
+		c.cancelEnd()
+	}
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.endReason != "" {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closedAs == "" {
+		c.closedAs = c.closeReason()
+	}
+	return c.TCPConn.Close()
+}
+
+// closeReason returns the reason for which the connection is being closed, with its suffix.
+// The lock must be held.
+func (c *Conn) closeReason() string {
 	reason := closedResponse
 	switch {
-	case c.readErr == nil && c.idle:
-		reason = closedStop
-	case errors.Is(c.readErr, os.ErrDeadlineExceeded):
+	case c.endReason != "":
+		reason = c.endReason
+	case c.readErr != nil && !errors.Is(c.readErr, os.ErrDeadlineExceeded):
+		return closedByCaller
+	case c.idle && c.readErr != nil:
 		reason = closedOnTimeout
-	case c.readErr != nil:
-		reason = closedByCaller
+	case c.idle:
+		reason = closedStop
 	}
-	c.mu.Unlock()
-	return c.closeAs(reason)
+	switch {
+	case c.unread():
+		return reason + withUnread
+	case c.idle && c.received:
+		return reason + withPartial
+	}
+	return reason
 }
 
-// closeAs closes the connection for a reason.
-func (c *Conn) closeAs(reason string) error {
+// end makes the goroutine that reads the connection close it, unless a request is in
+// progress on it, has arrived or is arriving, or the connection became idle after
+// idleSince. It reports whether the reader was asked to close it.
+func (c *Conn) end(reason string, idleSince time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closedAs == "" {
-		switch {
-		case reason != closedResponse && !c.idle:
-			reason += withStarted
-		case c.unread():
-			reason += withUnread
-		case c.idle && c.received:
-			reason += withPartial
-		}
-		c.closedAs = reason
+	if !c.idle || c.received || c.endReason != "" || c.idleSince.After(idleSince) {
+		return false
 	}
-	return c.TCPConn.Close()
+	c.endReason = reason
+	// An error means that the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// cancelEnd reverts end. The lock must be held.
+func (c *Conn) cancelEnd() {
+	if c.endReason == "" {
+		return
+	}
+	c.endReason = ""
+	// An error means that the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(c.deadline)
 }
 
 // setState records whether a request is in progress. It returns the reason for which the
 // connection was closed, empty if it is open.
-func (c *Conn) setState(state http.ConnState) string {
+func (c *Conn) setState(now time.Time, state http.ConnState) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = state == http.StateNew || state == http.StateIdle
-	c.received = c.received && !c.idle
+	if c.idle {
+		c.idleSince = now
+		c.readErr = nil
+		c.received = false
+	} else {
+		c.cancelEnd()
+	}
 	return c.closedAs
 }
 
--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -1,9 +1,10 @@
 // Package conns provides the listener for callers, which can be closed without
 // resetting connections, and a tracker that closes idle connections, sooner if
-// there are many.
+// there are many, and never one on which a request has arrived.
 package conns
 
 import (
+	"context"
 	"expvar"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/wasabibend/wasabibend/internal/pause"
 )
 
 // Thresholds of the number of callers' connections, as fractions of the process's
@@ -66,9 +69,8 @@
 }
 
 // Closed returns the numbers of connections that were closed, by reason: Answer, Caller,
-// Idle, Stop or Timeout. A suffix tells that a request was on the connection: Started if
-// its handler had started, Partial if a part of it had been read, Unread if bytes were in
-// the kernel's buffer.
+// Idle, Stop or Timeout. A suffix tells that a request was on the connection: Partial if a
+// part of it had been read, Unread if bytes were in the kernel's buffer.
 func (t *Tracker) Closed() *expvar.Map {
 	return t.closed
 }
@@ -77,7 +79,7 @@
 // called from http.Server.ConnState.
 func (t *Tracker) SetState(now time.Time, accepted net.Conn, state http.ConnState) {
 	conn := accepted.(*Conn)
-	closedAs := conn.setState(state)
+	closedAs := conn.setState(now, state)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.awaitingFirst, conn)
@@ -108,11 +110,9 @@
 // is still expected: it covers some round trips to a distant caller.
 const firstRequestTimeout = 200 * time.Millisecond
 
-// AwaitsFirstRequest reports whether the first request is still expected on any
-// connection. A server that is shutting down closes such a connection even if the
-// request has arrived already, so http.Server.Shutdown should be called only when
-// none is expected.
-func (t *Tracker) AwaitsFirstRequest(now time.Time) bool {
+// awaitsFirstRequest reports whether the first request is still expected on any
+// connection.
+func (t *Tracker) awaitsFirstRequest(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, since := range t.awaitingFirst {
@@ -130,24 +130,56 @@
 	return t.open
 }
 
-// CloseIdle closes the connections that have been idle for a timeout, and returns
-// their number. While the number of open connections is at fullFraction or more,
-// it multiplies the timeout by fullIdleFactor.
+// CloseIdle makes the connections end that have been idle for a timeout, and returns their
+// number. While the number of open connections is at fullFraction or more, it multiplies the
+// timeout by fullIdleFactor.
 func (t *Tracker) CloseIdle(now time.Time, timeout time.Duration) int {
-	t.mu.Lock()
-	if float64(t.open) >= fullFraction*float64(t.descriptors) {
+	if t.full() {
 		timeout = time.Duration(float64(timeout) * fullIdleFactor)
 	}
+	return t.endIdle(closedIdle, now.Add(-timeout))
+}
+
+// Shutdown shuts down the server of a Listener. It lets the connections end that are idle
+// or become so, and serves the requests that have arrived on them, before
+// http.Server.Shutdown would close these. It returns an error if the context ends first.
+func (t *Tracker) Shutdown(ctx context.Context, server *http.Server) error {
+	for t.Open() > 0 {
+		now := time.Now()
+		if !t.awaitsFirstRequest(now) {
+			t.endIdle(closedStop, now)
+		}
+		if err := pause.For(ctx, shutdownPoll); err != nil {
+			break
+		}
+	}
+	return trace.Wrap(server.Shutdown(ctx))
+}
+
+// shutdownPoll is how often Shutdown looks for connections that have become idle.
+const shutdownPoll = 5 * time.Millisecond
+
+// endIdle makes the connections end that have been idle since a time or longer, and returns
+// their number.
+func (t *Tracker) endIdle(reason string, since time.Time) int {
+	t.mu.Lock()
 	var expired []*Conn
-	for conn, since := range t.idle {
-		if now.Sub(since) >= timeout {
+	for conn, idleSince := range t.idle {
+		if !idleSince.After(since) {
 			expired = append(expired, conn)
 		}
 	}
 	t.mu.Unlock()
+	ended := 0
 	for _, conn := range expired {
-		// The error is ignored: it means that the connection is closed already.
-		_ = conn.closeAs(closedIdle)
+		if conn.end(reason, since) {
+			ended++
+		}
 	}
-	return len(expired)
+	return ended
+}
+
+// full reports whether the number of open connections is at fullFraction or more.
+func (t *Tracker) full() bool {
+	return float64(t.Open()) >= fullFraction*float64(t.descriptors)
 }
--- a/internal/conn/conns/listener_test.go
+++ b/internal/conn/conns/listener_test.go
@@ -39,8 +39,7 @@
 		_, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
 		assert.NilError(t, err)
 	}
-	awaitFirstRequests(tracker)
-	assert.NilError(t, server.Shutdown(ctx))
+	assert.NilError(t, tracker.Shutdown(ctx, server))
 	serving.Wait()
 	for _, conn := range opened {
 		response, err := io.ReadAll(conn)
@@ -71,8 +70,7 @@
 		var serving sync.WaitGroup
 		serving.Go(func() { _ = server.Serve(l) })
 		assert.ErrorIs(t, l.Quiesce(t.Context()), syscall.EPERM)
-		awaitFirstRequests(tracker)
-		assert.NilError(t, server.Shutdown(t.Context()))
+		assert.NilError(t, tracker.Shutdown(t.Context(), server))
 		serving.Wait()
 		for _, conn := range opened {
 			response, err := io.ReadAll(conn)
@@ -133,8 +131,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 		assert.NilError(t, l.Quiesce(t.Context()))
-		awaitFirstRequests(tracker)
-		assert.NilError(t, server.Shutdown(t.Context()))
+		assert.NilError(t, tracker.Shutdown(t.Context(), server))
 		serving.Wait()
 		calling.Wait()
 	}
@@ -152,14 +149,6 @@
 	}
 }
 
-// awaitFirstRequests waits until the first request has come on all connections,
-// or is not expected any more.
-func awaitFirstRequests(tracker *Tracker) {
-	for tracker.AwaitsFirstRequest(time.Now()) {
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // callUntilRefused opens connections one after another, until one is refused. On
 // each it sends a request, which must get a response.
 func callUntilRefused(t *testing.T, address string) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -416,17 +416,13 @@
 }
 
 // shutdownServer shuts down the callers' server without losing requests. It accepts
-// the connections that are still queued in the kernel, waits for the first requests
-// on new connections, which http.Server.Shutdown would close, and then waits for
-// the requests in flight.
+// the connections that are still queued in the kernel, and then waits until all have
+// ended.
 func (n *Node) shutdownServer(ctx context.Context, s *server) error {
 	if err := s.listener.Quiesce(ctx); err != nil {
 		n.log.Info().Err(err).Msg("queued connections may be closed before they are accepted")
 	}
-	for n.conns.AwaitsFirstRequest(time.Now()) && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
-	}
-	return trace.Wrap(s.http.Shutdown(ctx))
+	return trace.Wrap(n.conns.Shutdown(ctx, s.http))
 }
 
 // awaitIdle waits until no request is in flight or the context ends.
