Do not cut an answer by the close behind it

Callers got a part of an answer, or none, and a reset: a node that answers with 'Connection: close' (a planned stop, many connections, a body that was not read) closed the connection while another request of the caller was unread. The kernel then resets it and drops what it has not yet sent of the answer, which an upstream had given.

Fix: such a connection is closed for writing only; what the caller sends is discarded until it closes its side, a second at most. It counts as open until then, so a stop waits for it.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 	endReason string // why the connection is to be ended once it is idle, empty if it is not
 	idle      bool   // no request is in progress on it
 	idleSince time.Time
+	lingers   bool  // it is closed by linger if an answer closes it
 	readErr   error // of the last read
 	received  bool  // bytes were read since it became idle
 }
@@ -78,16 +80,39 @@
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If an answer closes the connection of a caller, only the write
+// side is closed, and linger does the rest.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closedAs == "" {
 		c.closedAs = c.closeReason()
 	}
+	if c.lingers = c.lingers && strings.HasPrefix(c.closedAs, closedResponse); c.lingers {
+		return c.CloseWrite()
+	}
 	return c.TCPConn.Close()
 }
 
+// lingerTime is how long the bytes behind an answer that closes its connection are read.
+const lingerTime = time.Second
+
+// linger closes a connection that an answer has closed once its caller has closed it too,
+// or after lingerTime. Until then it discards what the caller sends, as the kernel would
+// reset the connection for it and drop what it has not sent yet of the answer.
+func (c *Conn) linger() {
+	c.mu.Lock()
+	lingers := c.lingers
+	c.mu.Unlock()
+	if !lingers {
+		return
+	}
+	// Errors mean that the caller has closed or reset the connection.
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.TCPConn)
+	_ = c.TCPConn.Close()
+}
+
 // closeReason returns the reason for which the connection is being closed, with its suffix.
 // The lock must be held.
 func (c *Conn) closeReason() string {
@@ -142,6 +167,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = state == http.StateNew || state == http.StateIdle
+	c.lingers = c.lingers || state == http.StateNew
 	if c.idle {
 		c.idleSince = now
 		c.readErr = nil
--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -76,10 +76,14 @@
 }
 
 // SetState records that a connection of a Listener has entered a state. It is meant to be
-// called from http.Server.ConnState.
+// called from http.Server.ConnState. For a connection that an answer has closed, it returns
+// once its caller has closed it too, or after lingerTime.
 func (t *Tracker) SetState(now time.Time, accepted net.Conn, state http.ConnState) {
 	conn := accepted.(*Conn)
 	closedAs := conn.setState(now, state)
+	if state == http.StateClosed {
+		conn.linger()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.awaitingFirst, conn)
