--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -40,9 +40,10 @@
 	endReason string // why the connection is to be ended once it is idle, empty if it is not
 	idle      bool   // no request is in progress on it
 	idleSince time.Time
-	lingers   bool  // it is closed by linger if an answer closes it
+	lingers   bool  // only its write side has been closed, linger does the rest
 	readErr   error // of the last read
 	received  bool  // bytes were read since it became idle
+	tracked   bool  // a Tracker calls linger
 }
 
 // newConn returns the Conn of an accepted connection.
@@ -88,7 +89,8 @@
 	if c.closedAs == "" {
 		c.closedAs = c.closeReason()
 	}
-	if c.lingers = c.lingers && strings.HasPrefix(c.closedAs, closedResponse); c.lingers {
+	if c.tracked && strings.HasPrefix(c.closedAs, closedResponse) {
+		c.lingers = true
 		return c.CloseWrite()
 	}
 	return c.TCPConn.Close()
@@ -167,7 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = state == http.StateNew || state == http.StateIdle
-	c.lingers = c.lingers || state == http.StateNew
+	c.tracked = true
 	if c.idle {
 		c.idleSince = now
 		c.readErr = nil
