Let open connections keep the idle limit that their callers know

Cause: a limit that a new configuration lowers was applied to what had been taken under the old one. Fix: a connection keeps the idle limit that was in force when its last request was answered, unless the new one is longer, and a second more for the request's way. While connections are many, the limit in force counts, as before, for a tenth.

--- a/internal/conn/conns/behind_test.go
+++ b/internal/conn/conns/behind_test.go
@@ -27,7 +27,7 @@
 		assert.NilError(t, err)
 		l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 		assert.NilError(t, err)
-		tracker := NewTracker(1000)
+		tracker := NewTracker(1000, testIdleTimeout)
 		answer := strings.Repeat("a", size)
 		closed, sent, started := make(chan struct{}), make(chan struct{}), make(chan struct{})
 		server := &http.Server{
--- a/internal/conn/conns/closing_test.go
+++ b/internal/conn/conns/closing_test.go
@@ -77,7 +77,7 @@
 	t.Helper()
 	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	assert.NilError(t, err)
-	h := &closingHost{closed: make(chan struct{}), held: make(chan struct{}), l: l, tracker: NewTracker(descriptors)}
+	h := &closingHost{closed: make(chan struct{}), held: make(chan struct{}), l: l, tracker: NewTracker(descriptors, testIdleTimeout)}
 	h.server = &http.Server{ConnState: h.setState, Handler: http.HandlerFunc(h.serveHTTP)}
 	h.serving.Go(func() { _ = h.server.Serve(l) })
 	return h
@@ -90,11 +90,11 @@
 	}
 }
 
-// closeIdle closes the connections that have rested for 10 s, or shuts the server down.
+// closeIdle closes the connections that have rested for the idle timeout, or shuts the server down.
 func (h *closingHost) closeIdle(t *testing.T, stop bool) {
 	t.Helper()
 	if !stop {
-		h.tracker.CloseIdle(h.now(), 10*time.Second)
+		h.tracker.CloseIdle(h.now())
 		return
 	}
 	assert.Check(t, h.tracker.Shutdown(t.Context(), h.server))
--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -33,6 +33,7 @@
 // looks for bytes once more. No other lock is acquired while its lock is held.
 type Conn struct {
 	*net.TCPConn
+	idleTimeout time.Duration // when the last request started; guarded by the Tracker's lock
 
 	mu        sync.Mutex
 	closedAs  string // reason with its suffix, empty while the connection is open
@@ -139,12 +140,12 @@
 }
 
 // end makes the goroutine that reads the connection close it, unless a request is in
-// progress on it, has arrived or is arriving, or the connection became idle after
+// progress on it, has arrived or is arriving, or the connection has not been idle since
 // idleSince. It reports whether the reader was asked to close it.
 func (c *Conn) end(reason string, idleSince time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.received || c.endReason != "" || c.idleSince.After(idleSince) {
+	if !c.idle || c.received || c.endReason != "" || !c.idleSince.Equal(idleSince) {
 		return false
 	}
 	c.endReason = reason
--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -42,18 +42,27 @@
 
 	mu            sync.Mutex
 	awaitingFirst map[*Conn]time.Time // opening times of the connections without a request yet
-	idle          map[*Conn]time.Time // since when, for the connections without a request in progress
+	idle          map[*Conn]idleness  // of the connections without a request in progress
+	idleTimeout   time.Duration
 	open          int
 }
 
+// idleness tells since when a connection has been idle, and the idle timeout that its caller
+// knows.
+type idleness struct {
+	since   time.Time
+	timeout time.Duration
+}
+
 // NewTracker returns a Tracker for a process that may open the given number of
-// file descriptors.
-func NewTracker(descriptors int) *Tracker {
+// file descriptors. The idle timeout can be changed by SetIdleTimeout.
+func NewTracker(descriptors int, idleTimeout time.Duration) *Tracker {
 	return &Tracker{
 		awaitingFirst: make(map[*Conn]time.Time),
 		closed:        new(expvar.Map).Init(),
 		descriptors:   descriptors,
-		idle:          make(map[*Conn]time.Time),
+		idle:          make(map[*Conn]idleness),
+		idleTimeout:   idleTimeout,
 	}
 }
 
@@ -91,10 +100,12 @@
 	case http.StateNew:
 		t.open++
 		t.awaitingFirst[conn] = now
-		t.idle[conn] = now
+		t.idle[conn] = idleness{since: now, timeout: t.idleTimeout}
 	case http.StateIdle:
-		t.idle[conn] = now
+		conn.idleTimeout = max(conn.idleTimeout, t.idleTimeout)
+		t.idle[conn] = idleness{since: now, timeout: conn.idleTimeout}
 	case http.StateActive:
+		conn.idleTimeout = t.idleTimeout
 		delete(t.idle, conn)
 	case http.StateClosed, http.StateHijacked:
 		t.open--
@@ -134,14 +145,31 @@
 	return t.open
 }
 
-// CloseIdle makes the connections end that have been idle for a timeout, and returns their
-// number. While the number of open connections is at fullFraction or more, it multiplies the
-// timeout by fullIdleFactor.
-func (t *Tracker) CloseIdle(now time.Time, timeout time.Duration) int {
-	if t.full() {
-		timeout = time.Duration(float64(timeout) * fullIdleFactor)
-	}
-	return t.endIdle(closedIdle, now.Add(-timeout))
+// SetIdleTimeout sets the idle timeout. A connection that is idle keeps the one that was in
+// force when its last request was answered, as its caller may rely on it, unless the new one
+// is longer.
+func (t *Tracker) SetIdleTimeout(timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.idleTimeout = timeout
+}
+
+// idleSlack is added to the idle timeout, as callers count from when they got an answer, and
+// their requests take time to arrive.
+const idleSlack = time.Second
+
+// CloseIdle makes the connections end that have been idle for the idle timeout and idleSlack,
+// and returns their number. While the number of open connections is at fullFraction or more,
+// connections end after the timeout in force, multiplied by fullIdleFactor.
+func (t *Tracker) CloseIdle(now time.Time) int {
+	full := t.full()
+	return t.endIdle(closedIdle, func(i idleness) bool {
+		timeout := max(i.timeout, t.idleTimeout) + idleSlack
+		if full {
+			timeout = time.Duration(float64(t.idleTimeout) * fullIdleFactor)
+		}
+		return now.Sub(i.since) >= timeout
+	})
 }
 
 // Shutdown shuts down the server of a Listener. It lets the connections end that are idle
@@ -151,7 +179,7 @@
 	for t.Open() > 0 {
 		now := time.Now()
 		if !t.awaitsFirstRequest(now) {
-			t.endIdle(closedStop, now)
+			t.endIdle(closedStop, func(idleness) bool { return true })
 		}
 		if err := pause.For(ctx, shutdownPoll); err != nil {
 			break
@@ -163,19 +191,19 @@
 // shutdownPoll is how often Shutdown looks for connections that have become idle.
 const shutdownPoll = 5 * time.Millisecond
 
-// endIdle makes the connections end that have been idle since a time or longer, and returns
-// their number.
-func (t *Tracker) endIdle(reason string, since time.Time) int {
+// endIdle makes the idle connections end for which a function returns true, and returns
+// their number. The function is called with the lock held.
+func (t *Tracker) endIdle(reason string, expired func(idleness) bool) int {
 	t.mu.Lock()
-	var expired []*Conn
-	for conn, idleSince := range t.idle {
-		if !idleSince.After(since) {
-			expired = append(expired, conn)
+	found := make(map[*Conn]time.Time)
+	for conn, i := range t.idle {
+		if expired(i) {
+			found[conn] = i.since
 		}
 	}
 	t.mu.Unlock()
 	ended := 0
-	for _, conn := range expired {
+	for conn, since := range found {
 		if conn.end(reason, since) {
 			ended++
 		}
--- a/internal/conn/conns/conns_test.go
+++ b/internal/conn/conns/conns_test.go
@@ -10,30 +10,32 @@
 	"gotest.tools/v3/assert"
 )
 
+// testIdleTimeout is the idle timeout of trackers in tests.
+const testIdleTimeout = 10 * time.Second
+
 // TestTracker checks at which numbers of open connections callers are asked to
 // close theirs and the idle timeout is shortened.
 func TestTracker(t *testing.T) {
 	now := time.Unix(1000, 0)
-	const idle = 10 * time.Second
-	tracker := NewTracker(10)
+	tracker := NewTracker(10, testIdleTimeout)
 	conns := make([]*Conn, 7)
 	for i := range conns {
 		conns[i], _ = connPair(t)
 		tracker.SetState(now, conns[i], http.StateNew)
 		assert.Equal(t, tracker.NearLimit(), i+1 >= 4, "%d open", i+1)
 		if i == 4 {
-			assert.Equal(t, tracker.CloseIdle(now.Add(2*time.Second), idle), 0, "the idle timeout is not shortened at half of the descriptors")
+			assert.Equal(t, tracker.CloseIdle(now.Add(2*time.Second)), 0, "the idle timeout is not shortened at half of the descriptors")
 		}
 	}
 	tracker.SetState(now, conns[0], http.StateActive)
-	assert.Equal(t, tracker.CloseIdle(now.Add(2*time.Second), idle), 6, "past 60% of the descriptors, all but the active connection are closed after a tenth of the idle timeout")
+	assert.Equal(t, tracker.CloseIdle(now.Add(2*time.Second)), 6, "past 60% of the descriptors, all but the active connection are closed after a tenth of the idle timeout")
 	for _, conn := range conns[1:] {
 		tracker.SetState(now, conn, http.StateClosed)
 	}
 	assert.Equal(t, tracker.Open(), 1)
 	tracker.SetState(now, conns[0], http.StateIdle)
-	assert.Equal(t, tracker.CloseIdle(now.Add(9*time.Second), idle), 0)
-	assert.Equal(t, tracker.CloseIdle(now.Add(10*time.Second), idle), 1)
+	assert.Equal(t, tracker.CloseIdle(now.Add(testIdleTimeout+idleSlack-1)), 0)
+	assert.Equal(t, tracker.CloseIdle(now.Add(testIdleTimeout+idleSlack)), 1)
 }
 
 // connPair returns both ends of a TCP connection.
--- a/internal/conn/conns/listener_test.go
+++ b/internal/conn/conns/listener_test.go
@@ -28,7 +28,7 @@
 		assert.NilError(t, err)
 		opened = append(opened, conn)
 	}
-	tracker := NewTracker(1000)
+	tracker := NewTracker(1000, testIdleTimeout)
 	server := trackedServer(tracker)
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = server.Serve(l) })
@@ -65,7 +65,7 @@
 			assert.NilError(t, err)
 			opened = append(opened, conn)
 		}
-		tracker := NewTracker(1000)
+		tracker := NewTracker(1000, testIdleTimeout)
 		server := trackedServer(tracker)
 		var serving sync.WaitGroup
 		serving.Go(func() { _ = server.Serve(l) })
@@ -122,7 +122,7 @@
 	for range 3 {
 		l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 		assert.NilError(t, err)
-		tracker := NewTracker(1000)
+		tracker := NewTracker(1000, testIdleTimeout)
 		server := trackedServer(tracker)
 		var serving, calling sync.WaitGroup
 		serving.Go(func() { _ = server.Serve(l) })
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -168,7 +168,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		conns:       conns.NewTracker(descriptors),
+		conns:       conns.NewTracker(descriptors, idleTimeout),
 		cancel:      cancel,
 		checkNeeded: make(chan struct{}, 1),
 		ctx:         ctx,
@@ -280,8 +280,14 @@
 	return quota.Limit{Burst: customer.Burst, Rate: customer.Rate}, true
 }
 
-// catalogChanged takes over from the catalog what cold upstreams take.
+// catalogChanged takes over from the catalog what cold upstreams take, and the idle timeout
+// of callers' connections.
 func (n *Node) catalogChanged(now time.Time) {
+	if limit := n.catalog.Snapshot().Limits().IdleTimeout; limit > 0 {
+		n.conns.SetIdleTimeout(limit)
+	} else {
+		n.conns.SetIdleTimeout(idleTimeout)
+	}
 	n.upstream.refreshCold(now)
 	n.logCold(now)
 }
@@ -432,17 +438,10 @@
 	}
 }
 
-// reapConns closes idle connections of callers until the context ends. The idle
-// timeout is the catalog's, or idleTimeout if it has none.
+// reapConns closes idle connections of callers until the context ends.
 func (n *Node) reapConns(ctx context.Context) {
 	for sleep(ctx, reapInterval) {
-		idle := idleTimeout
-		if n.catalog != nil {
-			if limit := n.catalog.Snapshot().Limits().IdleTimeout; limit > 0 {
-				idle = limit
-			}
-		}
-		n.conns.CloseIdle(time.Now(), idle)
+		n.conns.CloseIdle(time.Now())
 	}
 }
 
