Make no room in a bucket before tokens have expired

A customer could get up to twice its burst at once. Nodes hold half of a burst, use it just before it expires, and an allocator that heard nothing meanwhile then granted a whole burst: rate 10, burst 40, 60 tokens used within 210 ms. The same happened when the use was reported after a pause, and when a successor's first question for a customer came after the earlier holder's tokens had expired (4 tokens granted where 2 were due).

Cause: a bucket was filled for the whole time since its last question under the room that it had at the end of that time, after the report and the expiries.

--- a/internal/process/quota/allocator.go
+++ b/internal/process/quota/allocator.go
@@ -191,8 +191,10 @@
 		a.buckets[ask.Key] = b
 	}
 	b.limit = limit
-	b.applyReport(now, node, ask)
+	// The tokens that the node reports as used may have been used just now, so they make
+	// no room for the tokens that were due before.
 	b.refill(now)
+	b.applyReport(now, node, ask)
 	answer := Grant{Term: a.term}
 	answer.Now, answer.Valid = b.grantImmediate(now, node, ask)
 	if answer.Now < ask.Now {
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -94,16 +94,34 @@
 	return tokens
 }
 
-// refill adds the tokens due since the last refill. The tokens in the bucket
-// and the granted tokens that may still be used together never exceed the
-// burst.
+// refill adds the tokens due since the last refill. At each time in between, the tokens
+// in the bucket and the granted tokens that could be used then together do not exceed
+// the burst. Granted tokens may be used until just before they expire, so what expires
+// makes room only for the tokens due later.
 func (b *bucket) refill(now time.Time) {
-	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		b.tokens += b.limit.Rate * elapsed.Seconds()
-		b.updated = now
+	for b.updated.Before(now) {
+		unused := b.unused(b.updated)
+		until := now
+		if unused > 0 {
+			until = earlier(now, b.nextExpiry())
+		}
+		b.tokens += b.limit.Rate * until.Sub(b.updated).Seconds()
+		b.limitTokens(unused)
+		b.updated = until
 	}
-	capacity := b.limit.Burst - float64(b.unused(now))
-	b.tokens = math.Max(math.Min(b.tokens, capacity), 0)
+	b.limitTokens(b.unused(now))
+}
+
+// limitTokens removes the tokens for which there is no room beside the given number of
+// unused ones.
+func (b *bucket) limitTokens(unused int) {
+	b.tokens = math.Max(math.Min(b.tokens, b.limit.Burst-float64(unused)), 0)
+}
+
+// nextExpiry returns the first time after the last refill at which granted tokens may
+// expire. The caller must have called unused for the time of that refill.
+func (b *bucket) nextExpiry() time.Time {
+	return earlier(b.heldSumExpires, earlier(b.immediate.nextExpiry(b.heldSumExpires), b.slow.nextExpiry(b.heldSumExpires)))
 }
 
 // unused returns the number of granted tokens that nodes may still use.
--- a/internal/process/quota/immediate.go
+++ b/internal/process/quota/immediate.go
@@ -61,6 +61,15 @@
 	return gs.sum
 }
 
+// nextExpiry returns when the first of the grants expires, or the given time if there are
+// none.
+func (gs *immediateGrants) nextExpiry(none time.Time) time.Time {
+	if len(gs.order) == 0 {
+		return none
+	}
+	return gs.order[0].expires
+}
+
 // end marks a grant as settled if done is true, so that its tokens no longer
 // count as unused. It has no effect on a grant that is settled already.
 func (gs *immediateGrants) end(g *immediateGrant, done bool) {
