Let a health check decide between reports of two instances

What callers saw: after one status report of an unknown id whose born is the largest number of 64 bits, all requests for that upstream got 503, until its node was restarted.

Cause: of two starts the one born later counted as the one that is there, whoever reported it, and reports of an earlier one were outdated for as long as the process lived. There was no limit for born, sequence and slots. So the wrong report displaced the upstream, and each report of the upstream after it was acknowledged and ignored. No number overflowed. The same held for a born one second later than the upstream's, for the upstream's own id with a wrong born, for its own start with a sequence too large, and for a deregistration with a wrong born, which held against all later starts under that id.

TestWrongReports failed before in 14 of 19 cases, the first one with "after 4s: Absent i-9, want Ready i-1", so did after 40s; one of the 14 expects no more than another instance as the absent one. A case shows a drain that was acknowledged and revoked: the drained id reported ready with a later born, at the first start of the fleet ("after 6s: Ready i-1, want Absent i-1").

Change, in the node: a report of another instance than the current one no longer displaces it where the service has a health check. It is kept as a rival until a health check has named the instance that is there; that one stays or becomes the current one, whenever they were born, with one line in the log. There is one such decision a second at most. A rival that drains is recorded as having left. Without a health check, and for an own id, an earlier birth or a lower sequence counts as outdated only until the current start has been silent for half of the time for which a report is valid; where a health check can tell, such a start must pass one first. A start that drains is not renewed by its earlier reports, and a later start under its id must pass a health check.

Ruled out: the smallest number as born by itself, which was acknowledged but older than each true report.

The three tests that call announce directly pass its new argument; what they expect is the same. Passed after: internal/process/node, platform/..., internal/cmdln.

Run on arm64; GOARCH=amd64 go vet ./... passes.

--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -75,8 +75,14 @@
 	}
 }
 
-// checkUpstream sends health checks to the upstream until its current start has passed
-// one, says that it takes no requests, or is gone. A start of a service without health
+// verifiesInstances reports whether the upstream's health check tells which instance is
+// there.
+func (n *Node) verifiesInstances() bool {
+	return n.checksUpstream() && n.healthPath() != ""
+}
+
+// checkUpstream sends health checks to the upstream until one has told which start is
+// there and its current start has passed one, says that it takes no requests, or is gone. A start of a service without health
 // checks passes at once.
 func (n *Node) checkUpstream(ctx context.Context) {
 	if n.healthPath() == "" {
@@ -85,6 +91,9 @@
 	}
 	for interval := minCheckInterval; n.upstream.needsCheck(time.Now()); interval = min(2*interval, maxCheckInterval) {
 		found, err := n.probeOnce(ctx)
+		if err == nil || errors.Is(err, ErrUnhealthy) {
+			n.decide(found.Instance)
+		}
 		switch {
 		case errors.Is(err, ErrUnhealthy):
 			return // its next report wakes the loop
@@ -101,6 +110,14 @@
 	}
 }
 
+// decide ends a contest between two instances of the upstream, if there is one, by the one
+// that answered a health check.
+func (n *Node) decide(instance string) {
+	if lost, decided := n.upstream.decide(time.Now(), instance); decided {
+		n.log.Info().Str("Instance", instance).Str("Contested", lost).Msg("a health check told which instance of the upstream is there")
+	}
+}
+
 // recordHealthy records that the upstream has passed a health check, and reports whether
 // it was the instance that announced itself last.
 func (n *Node) recordHealthy(found admin.Announcement) bool {
--- a/internal/process/node/health_test.go
+++ b/internal/process/node/health_test.go
@@ -121,8 +121,8 @@
 	switch words[0] {
 	case "deregister":
 		n.Deregister(words[1], bornAt)
-	case "ready":
-		n.Announce(time.Now(), admin.Announcement{Address: n.Settings().Server, Born: bornAt, Instance: words[1], Sequence: sequence, Service: "ledger", Slots: 30})
+	case "draining", "ready":
+		n.Announce(time.Now(), admin.Announcement{Address: n.Settings().Server, Born: bornAt, Draining: words[0] == "draining", Instance: words[1], Sequence: sequence, Service: "ledger", Slots: 30})
 	default:
 		t.Fatalf("unknown event %q", words[0])
 	}
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -42,8 +42,11 @@
 	current      admin.Announcement
 	deregistered map[string]time.Time // born times of instances, by ID
 	announcedAt  time.Time            // of current, zero for none and after a crash
+	doubtful     bool                 // whether current must pass a health check, even if checked is false
 	drainingAt   time.Time            // since when current is known to be draining, zero if it is not
 	healthy      upstreamStart        // the last start whose health check succeeded
+	reportedAt   time.Time            // of current, also after a crash, zero for none
+	rival        rival
 }
 
 // upstreamStart identifies one start of an upstream.
@@ -69,18 +72,36 @@
 	return u.current.Address, u.current.Instance, true
 }
 
-// announce stores an announcement, or returns false if it is outdated. It resets the
-// gate if this is another start of the upstream, if its slots changed, or if it was
-// absent and announces no slots: an upstream that was absent starts cold. A start that
-// is draining stays so, if it has an instance ID.
-func (u *upstream) announce(now time.Time, a admin.Announcement) bool {
+// announce applies an announcement and returns what became of it. verifies tells whether a
+// health check names the instance that answers it: then that decides which of two instances
+// is there, and not the times at which they say that they were born.
+func (u *upstream) announce(now time.Time, a admin.Announcement, verifies bool) reception {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.outdated(&a) {
-		return false
+	if u.outdated(now, &a, verifies) {
+		return ignored
+	}
+	if verifies && u.contests(now, &a) {
+		return u.challenge(now, a)
+	}
+	doubtful := verifies && u.contradicts(&a)
+	if same := u.store(now, a); doubtful || !same {
+		u.doubtful = doubtful
+	}
+	if doubtful {
+		u.healthy = upstreamStart{}
 	}
+	return accepted
+}
+
+// store makes an announcement the current one. It resets the gate if this is another start
+// of the upstream, if its slots changed, or if it was absent and announces no slots: an
+// upstream that was absent starts cold. A start that is draining stays so, if it has an
+// instance ID. It reports whether the start is the one that announced itself last. The
+// caller holds the lock.
+func (u *upstream) store(now time.Time, a admin.Announcement) (same bool) {
 	sameBorn := u.current.Born.Equal(a.Born) || u.current.Born.IsZero() // responses to probes do not tell it
-	same := u.current.Instance == a.Instance && sameBorn && u.current.Address == a.Address
+	same = u.current.Instance == a.Instance && sameBorn && u.current.Address == a.Address
 	a.Draining = a.Draining || (same && u.current.Draining && a.Instance != "")
 	absent := u.expired(now)
 	if !same || (absent && a.Slots == 0) || u.current.Slots != a.Slots {
@@ -91,22 +112,22 @@
 		u.drainingAt = time.Time{}
 	}
 	u.current = a
-	u.announcedAt = now
+	u.announcedAt, u.reportedAt = now, now
 	if a.Draining {
 		u.markDraining(now)
 	}
 	if u.healthy.instance == a.Instance && u.healthy.born.IsZero() {
 		u.healthy.born = a.Born // the response to the health check did not tell it
 	}
-	return true
+	return same
 }
 
-// needsCheck reports whether the upstream gets no requests only because its current start
-// has not passed a health check yet.
+// needsCheck reports whether a health check has to tell which start is there, or whether
+// the upstream gets no requests only because its current start has not passed one yet.
 func (u *upstream) needsCheck(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.expired(now) && !u.current.Draining && !u.isHealthy()
+	return u.rivalPending(now) || !u.expired(now) && !u.current.Draining && !u.isHealthy()
 }
 
 // recordHealthy records that an instance has passed a health check. It returns false if
@@ -124,7 +145,7 @@
 // isHealthy reports whether the current start needs no health check or has passed one. The
 // caller holds the lock.
 func (u *upstream) isHealthy() bool {
-	if !u.checked || u.current.Instance == "" {
+	if !u.checked && !u.doubtful || u.current.Instance == "" {
 		return true
 	}
 	return u.healthy.instance == u.current.Instance && u.healthy.born.Equal(u.current.Born)
@@ -198,22 +219,6 @@
 	u.setCold(now, u.current.Service, admin.ColdUnknown, true)
 }
 
-// outdated reports whether an announcement is older than the current one, or is from
-// a start that has deregistered. Announcements without an instance ID never are. The
-// caller holds the lock.
-func (u *upstream) outdated(a *admin.Announcement) bool {
-	if a.Instance == "" {
-		return false
-	}
-	if born, ok := u.deregistered[a.Instance]; ok && !a.Born.After(born) {
-		return true
-	}
-	if a.Instance == u.current.Instance && a.Born.Equal(u.current.Born) {
-		return a.Sequence != 0 && a.Sequence <= u.current.Sequence
-	}
-	return a.Born.Before(u.current.Born)
-}
-
 // usableSlotShare is the share of an upstream's slots that the node uses. Upstreams
 // may slow down when they are nearly full, and new connections and health checks
 // take slots too.
@@ -238,15 +243,29 @@
 	if born.IsZero() && current {
 		born = u.current.Born
 	}
-	if len(u.deregistered) >= maxDeregistered {
-		clear(u.deregistered)
+	// A start that is still to come cannot have deregistered: it is a wrong time, which must
+	// not hold against later starts under this ID.
+	if limit := now; born.After(limit) {
+		if current && u.current.Born.After(limit) {
+			limit = u.current.Born
+		}
+		born = limit
 	}
-	u.deregistered[instance] = born
+	u.recordLeft(instance, born)
 	if current && !u.current.Born.After(born) {
 		u.markDraining(now)
 	}
 }
 
+// recordLeft makes announcements outdated that are from an instance that was born at the
+// given time, or earlier. The caller holds the lock.
+func (u *upstream) recordLeft(instance string, born time.Time) {
+	if len(u.deregistered) >= maxDeregistered {
+		clear(u.deregistered)
+	}
+	u.deregistered[instance] = born
+}
+
 // markDraining marks the current start as draining. The caller holds the lock.
 func (u *upstream) markDraining(now time.Time) {
 	u.current.Draining = true
@@ -314,18 +333,19 @@
 }
 
 // Announce stores an announcement of the upstream beside the node and tells the
-// other nodes of changes. It returns false if the announcement is outdated.
+// other nodes of changes. It returns false if the announcement is outdated, or if a health
+// check has to tell first whether it is from the instance that is there.
 func (n *Node) Announce(now time.Time, a admin.Announcement) bool {
-	accepted := n.upstream.announce(now, a)
+	reception := n.upstream.announce(now, a, n.verifiesInstances())
 	n.logCold(now)
 	n.publishUpstream()
-	if accepted && n.upstream.needsCheck(now) {
+	if reception != ignored && n.upstream.needsCheck(now) {
 		select {
 		case n.checkNeeded <- struct{}{}:
 		default:
 		}
 	}
-	return accepted
+	return reception == accepted
 }
 
 // logCold logs when the upstream beside the node becomes cold or warm.
--- a/internal/process/node/upstream_test.go
+++ b/internal/process/node/upstream_test.go
@@ -24,7 +24,7 @@
 			return u.announce(now, admin.Announcement{
 				Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: bornAt, Draining: draining,
 				Instance: instance, Sequence: sequence, Service: "ledger", Slots: 30,
-			})
+			}, false) == accepted
 		}
 	}
 	deregister := func(instance string, bornAt time.Time) func(time.Time) bool {
@@ -79,7 +79,7 @@
 	u := newUpstream(gates.NewGate(gates.NewGradient()), 10*time.Second, func(string) gates.ColdStart { return gates.ColdStart{} })
 	announce := func(instance string, sequence uint64, draining bool) func(time.Time) {
 		return func(now time.Time) {
-			u.announce(now, admin.Announcement{Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: start, Draining: draining, Instance: instance, Sequence: sequence, Service: "ledger"})
+			u.announce(now, admin.Announcement{Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: start, Draining: draining, Instance: instance, Sequence: sequence, Service: "ledger"}, false)
 		}
 	}
 	none := func(time.Time) {}
@@ -120,7 +120,7 @@
 		return func(now time.Time) {
 			u.announce(now, admin.Announcement{
 				Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: bornAt, Cold: cold, Instance: instance, Sequence: sequence, Service: "ledger", Slots: 30,
-			})
+			}, false)
 		}
 	}
 	probe := func(instance string, cold time.Duration) func(time.Time) {
