Check the soak's events at the times of their injection

Faults of the processes of one host wait for each other, so that a kill that is planned during a graceful stop comes up to six seconds later. The checks took the planned times: a request that such a kill cut could count as cut by the stop, or as cut without a fault. Found when reading the code; not seen in a run. injectFaults now returns the events with the times at which they were injected and removed, and the log of events prints these.

Callers see no change.

--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -141,7 +141,7 @@
 	defer endCallers()
 	c := startCallers(callersCtx, b.fleet.Hosts, o)
 	obs := &Observations{PlanStart: time.Now(), Events: plan(seed, options.FaultPeriod, options.Events, options.Hosts, len(zones))}
-	if err := b.injectFaults(ctx, obs.Events, o, func(format string, args ...any) { fmt.Fprintf(log, format+"\n", args...) }); err != nil {
+	if obs.Events, err = b.injectFaults(ctx, obs.Events, o, func(format string, args ...any) { fmt.Fprintf(log, format+"\n", args...) }); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	obs.FaultsEnded = time.Now()
--- a/internal/cmds/soak/plan.go
+++ b/internal/cmds/soak/plan.go
@@ -53,6 +53,15 @@
 	Host, Zone int
 }
 
+// hitsProcess reports whether the event signals or ends a process.
+func (e *Event) hitsProcess() bool {
+	switch e.Fault {
+	case KillNode, KillUpstream, LeaveUpstream, PauseNode, StopHost, StopNode:
+		return true
+	}
+	return false
+}
+
 // Times of a plan's events.
 const (
 	// faultFreePeriod precedes the first fault. Every request in it is expected to be
--- a/internal/cmds/soak/testbed.go
+++ b/internal/cmds/soak/testbed.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -110,30 +111,37 @@
 const restartDelay = 500 * time.Millisecond
 
 // injectFaults injects each event at its time and waits until all faults have been
-// removed.
-func (b *testbed) injectFaults(ctx context.Context, events []Event, o *operator, log func(format string, args ...any)) error {
+// removed. It returns the events with the times at which they were injected and removed.
+func (b *testbed) injectFaults(ctx context.Context, events []Event, o *operator, log func(format string, args ...any)) ([]Event, error) {
 	start := time.Now()
+	injected := slices.Clone(events)
 	var running conc.WaitGroup
 	errs := make(chan error, len(events))
-	for _, e := range events {
+	for i, e := range events {
 		select {
 		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
+			return nil, trace.Wrap(ctx.Err())
 		case <-time.After(time.Until(start.Add(e.At))):
 		}
 		running.Go(func() {
-			log("%v %s host %d zone %d for %v", e.At.Round(time.Millisecond), e.Fault, e.Host+1, e.Zone, e.Duration.Round(time.Millisecond))
+			if e.hitsProcess() {
+				b.hostLocks[e.Host] <- struct{}{}
+				defer func() { <-b.hostLocks[e.Host] }()
+			}
+			injected[i].At = time.Since(start)
+			log("%v %s host %d zone %d for %v", injected[i].At.Round(time.Millisecond), e.Fault, e.Host+1, e.Zone, e.Duration.Round(time.Millisecond))
 			if err := b.inject(ctx, e, o); err != nil {
 				errs <- trace.Wrap(err, "%s at %v", e.Fault, e.At)
 			}
+			injected[i].Duration = time.Since(start) - injected[i].At
 		})
 	}
 	running.Wait()
 	close(errs)
 	for err := range errs {
-		return err
+		return nil, err
 	}
-	return nil
+	return injected, nil
 }
 
 // inject injects the fault of an event, and removes it after the event's duration
@@ -145,9 +153,10 @@
 		time.Sleep(e.Duration)
 		connections.SetFault(netip.Addr{}, proxy.Fault{})
 	}
-	switch e.Fault {
-	case KillNode, PauseNode, StopHost, StopNode, KillUpstream, LeaveUpstream:
+	if e.hitsProcess() {
 		return b.injectProcessFault(ctx, e, host)
+	}
+	switch e.Fault {
 	case DelayNode:
 		injectConnectionFault(p.Peers, proxy.Fault{Delay: 20 * time.Millisecond})
 	case ResetNode:
@@ -181,10 +190,8 @@
 }
 
 // injectProcessFault pauses and resumes a process of a host, or ends and restarts
-// it. Events at one host run one after the other.
+// it. Events at one host must be injected one after the other.
 func (b *testbed) injectProcessFault(ctx context.Context, e Event, host *procs.Host) error {
-	b.hostLocks[e.Host] <- struct{}{}
-	defer func() { <-b.hostLocks[e.Host] }()
 	process, address := host.Node, host.Callers()
 	if e.Fault == KillUpstream || e.Fault == LeaveUpstream {
 		process, address = host.Upstream, host.Server()
