Play callers that rest, and low idle timeouts, in the soak

Two checks: a request that ran is not cut while no fault affects its node and the hosts at which it ran, and the connection of a whole request that did not run does not end without an answer more than 200 ms after its last byte. TestCheck violates each check, and demands now that no other guarantee is violated; its case of a cut during a stop on another host is a violation of the new check.

--- a/internal/cmds/soak/callers.go
+++ b/internal/cmds/soak/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	routeBrowse   = "browse" // its upstream calls routeInner
 	routeInner    = "inner"
 	routeLookup   = "lookup"
+	routeOrder    = "order"    // not idempotent; only resting callers use it
 	routeTransfer = "transfer" // not idempotent: must not run twice
 )
 
@@ -29,13 +31,26 @@
 type Outcome struct {
 	// Response is the complete response, nil if there was none.
 	Response *mimic.Response
+	// Behind means that an earlier request on the same connection had no response yet
+	// when this one was sent.
+	Behind   bool
 	Customer string
 	Done     time.Time
 	Err      error
-	Host     int
-	ID       string
-	Route    string
-	Sent     time.Time
+	// First means that its caller had no response on the same connection before.
+	First bool
+	Host  int
+	ID    string
+	Kept  bool // sent by a resting caller
+	// Partial means that the response began and was cut.
+	Partial bool
+	// Reached is how far a request of a resting caller came that was cut.
+	Reached Reached
+	Route   string
+	Sent    time.Time
+	// Whole is when a resting caller had sent the last byte. It is zero for other callers,
+	// and if sending failed.
+	Whole time.Time
 }
 
 // connectionRefused reports whether no process listened at the address.
@@ -46,7 +61,12 @@
 // cut reports whether the connection ended before a complete response, for a reason
 // other than the caller's timeout.
 func (o *Outcome) cut() bool {
-	return o.Response == nil && !o.connectionRefused() && !errors.Is(o.Err, context.DeadlineExceeded)
+	return o.Response == nil && !o.connectionRefused() && !o.timedOut()
+}
+
+// timedOut reports whether the caller stopped waiting for the response.
+func (o *Outcome) timedOut() bool {
+	return errors.Is(o.Err, context.DeadlineExceeded) || errors.Is(o.Err, os.ErrDeadlineExceeded)
 }
 
 // served reports whether an upstream answered the request successfully.
@@ -78,15 +98,17 @@
 // account.
 const recentRequests = 20
 
-// startCallers starts callers that send requests until the context ends.
-func startCallers(ctx context.Context, hosts []*procs.Host, o *operator) *callers {
-	c := &callers{hosts: hosts, operator: o, recent: make([][]bool, len(hosts))}
-	for i := range hosts {
+func newCallers(hosts []*procs.Host, o *operator) *callers {
+	return &callers{hosts: hosts, operator: o, recent: make([][]bool, len(hosts))}
+}
+
+// start starts callers at each host that send requests until the context ends.
+func (c *callers) start(ctx context.Context) {
+	for i := range c.hosts {
 		for range callersPerHost {
 			c.workers.Go(func() { c.sendRequests(ctx, i) })
 		}
 	}
-	return c
 }
 
 // wait waits until the callers have stopped and returns the outcomes of all their
@@ -136,12 +158,13 @@
 }
 
 // record adds the outcome of a request. Only customer amis counts for recovered: it
-// has neither a rate limit nor a key that may be withdrawn.
+// has neither a rate limit nor a key that may be withdrawn. Requests of resting callers
+// do not count, as they may cross the end of their connection.
 func (c *callers) record(o Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
-	if o.Customer == "amis" {
+	if o.Customer == "amis" && !o.Kept {
 		c.recent[o.Host] = append(c.recent[o.Host], o.served())
 		c.recent[o.Host] = c.recent[o.Host][max(len(c.recent[o.Host])-recentRequests, 0):]
 	}
--- a/internal/cmds/soak/check.go
+++ b/internal/cmds/soak/check.go
@@ -16,8 +16,10 @@
 	Events      []Event
 	PlanStart   time.Time // start of the plan
 	FaultsEnded time.Time // when the last fault had ended
-	Outcomes    []Outcome
-	Records     []mimic.Record
+	// InstanceHosts has the index of the host of each instance of an upstream.
+	InstanceHosts map[string]int
+	Outcomes      []Outcome
+	Records       []mimic.Record
 	// RecoveryTime is the time from FaultsEnded until all hosts served again.
 	RecoveryTime  time.Duration
 	WithdrawnKeys map[string]time.Time // by key, when its withdrawal was acknowledged
@@ -25,6 +27,7 @@
 
 // Guarantees without a time bound, which hold however slow the machine is.
 const (
+	guaranteeCut      = "a request that runs is answered if no fault affects the hosts that it passes"
 	guaranteeCustomer = "a request runs for the customer of its key, and the upstream does not see the key"
 	guaranteeNotRun   = "a request that is reported as not run has not run"
 	guaranteeOnce     = "a request that is not idempotent runs at most once"
@@ -36,6 +39,7 @@
 // Guarantees with a time bound. They may be violated merely because the machine is
 // busy with other work.
 const (
+	guaranteeAnswer    = "a whole request on a kept connection is answered, or the connection ends soon"
 	guaranteeAdded     = "a route that was added is known to all nodes soon after the last fault"
 	guaranteeDrain     = "a draining upstream gets no new requests after its drain time"
 	guaranteeRate      = "a customer is not served beyond its rate and burst"
@@ -96,6 +100,7 @@
 		c.checkRate()
 		c.checkRecovery()
 		for i := range obs.Outcomes {
+			c.checkAnswer(&obs.Outcomes[i])
 			c.checkAdded(&obs.Outcomes[i])
 			c.checkWithdrawn(&obs.Outcomes[i])
 			c.checkStop(&obs.Outcomes[i])
@@ -107,10 +112,13 @@
 // checkOutcome checks the response to a request against the runs of the request.
 func (c *checker) checkOutcome(o *Outcome) {
 	runs := len(c.runsByID[o.ID])
-	if o.Route == routeTransfer && runs > 1 {
+	if (o.Route == routeOrder || o.Route == routeTransfer) && runs > 1 {
 		c.addViolation(guaranteeOnce, "%s ran %d times", o.ID, runs)
 	}
 	if o.Response == nil {
+		if o.cut() && runs > 0 && !c.disturbed(o) {
+			c.addViolation(guaranteeCut, "%s to route %s at host %d, sent %v after the start, cut %v later: %v", o.ID, o.Route, o.Host+1, o.Sent.Sub(c.PlanStart), o.Done.Sub(o.Sent), o.Err)
+		}
 		return
 	}
 	switch {
@@ -166,7 +174,7 @@
 // serviceOf returns the service to which a path's route leads.
 func serviceOf(path string) string {
 	route, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	if route == routeBrowse || strings.HasPrefix(route, "added") {
+	if route == routeBrowse || route == routeOrder || strings.HasPrefix(route, "added") {
 		return "listings"
 	}
 	return "ledger"
@@ -243,6 +251,63 @@
 	}
 }
 
+// maxCrossing is how long after its last byte a request may still cross the end of its
+// connection.
+const maxCrossing = 200 * time.Millisecond
+
+// checkAnswer checks that the connection of a whole request that did not run does not end
+// without a response more than maxCrossing after its last byte, unless the request waited
+// behind another or its node was paused or killed.
+func (c *checker) checkAnswer(o *Outcome) {
+	if !o.cut() || o.Whole.IsZero() || o.Behind || len(c.runsByID[o.ID]) > 0 {
+		return
+	}
+	if age := o.Done.Sub(o.Whole); age > maxCrossing && !c.impaired(o) {
+		c.addViolation(guaranteeAnswer, "%s at host %d, sent %v after the start: cut %v after its last byte, %s", o.ID, o.Host+1, o.Sent.Sub(c.PlanStart), age, o.Reached)
+	}
+}
+
+// impaired reports whether a request's node was paused or killed.
+func (c *checker) impaired(o *Outcome) bool {
+	return slices.ContainsFunc(c.Events, func(e Event) bool {
+		return (e.Fault == KillNode || e.Fault == PauseNode) && e.Host == o.Host && c.overlaps(&e, o)
+	})
+}
+
+// overlaps reports whether a request was in progress during an event, or less than
+// callerTimeout after it.
+func (c *checker) overlaps(e *Event, o *Outcome) bool {
+	return o.Sent.Sub(c.PlanStart) <= e.At+e.Duration+callerTimeout && o.Done.Sub(c.PlanStart) >= e.At
+}
+
+// disturbed reports whether a fault that may cut requests affected the request's node or a
+// host at which it ran, or whether its node stopped gracefully, which checkStop checks.
+func (c *checker) disturbed(o *Outcome) bool {
+	hosts := []int{o.Host}
+	for _, r := range c.runsByID[o.ID] {
+		hosts = append(hosts, c.InstanceHosts[r.Instance])
+	}
+	for _, e := range c.Events {
+		if !c.overlaps(&e, o) {
+			continue
+		}
+		switch {
+		case e.Fault == StopNode || e.Fault == StopHost:
+			if e.Host == o.Host {
+				return true
+			}
+		case e.mustNotCut():
+		case e.Fault == CutZone:
+			if slices.ContainsFunc(hosts, func(host int) bool { return host%len(zones) == e.Zone }) {
+				return true
+			}
+		case slices.Contains(hosts, e.Host):
+			return true
+		}
+	}
+	return false
+}
+
 // gracefulStopTimeout is the time within which a graceful stop must end.
 const gracefulStopTimeout = 6 * time.Second
 
@@ -270,7 +335,7 @@
 // stop, a change of the configuration, or a fault of the store.
 func (e *Event) mustNotCut() bool {
 	switch e.Fault {
-	case StopHost, StopNode, LeaveUpstream, ChangeCatalog, WithdrawKey, StoreDown, StoreForgets, StoreLoses, StoreRestored, StoreSlow:
+	case StopHost, StopNode, LeaveUpstream, ChangeCatalog, LowerIdle, WithdrawKey, StoreDown, StoreForgets, StoreLoses, StoreRestored, StoreSlow:
 		return true
 	}
 	return false
--- a/internal/cmds/soak/check_test.go
+++ b/internal/cmds/soak/check_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -20,12 +21,12 @@
 // start, and the record of its run.
 func lookup(id, customer string, after time.Duration) (Outcome, mimic.Record) {
 	at := start.Add(after)
-	o := Outcome{Response: &mimic.Response{Verified: true, Status: http.StatusOK}, Customer: customer, ID: id, Route: routeLookup, Sent: at}
+	o := Outcome{Response: &mimic.Response{Verified: true, Status: http.StatusOK}, Customer: customer, Done: at, ID: id, Route: routeLookup, Sent: at}
 	return o, mimic.Record{At: at, Customer: customer, ID: id, Kind: mimic.Ran, Path: "/lookup/x", Service: "ledger"}
 }
 
-// TestCheck checks that Check reports a violation of each guarantee, and nothing in
-// similar cases that are allowed.
+// TestCheck checks that Check reports a violation of each guarantee and of no other, and
+// nothing in similar cases that are allowed.
 func TestCheck(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -91,11 +92,62 @@
 		{"cut during a graceful stop on another host", func(obs *Observations) {
 			obs.Events = []Event{{At: 0, Fault: StopNode, Host: 1}}
 			obs.Outcomes[0].Response, obs.Outcomes[0].Err = nil, io.EOF
-		}, ""},
+		}, guaranteeCut},
 		{"cut during a graceful stop and a kill", func(obs *Observations) {
 			obs.Events = []Event{{At: 0, Fault: StopNode}, {At: 0, Fault: KillNode}}
 			obs.Outcomes[0].Response, obs.Outcomes[0].Err = nil, io.EOF
 		}, ""},
+		{"cut after it ran", func(obs *Observations) { cut(obs, time.Millisecond) }, guaranteeCut},
+		{"cut after it ran at a low idle timeout", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{Fault: LowerIdle, Duration: time.Minute}, {Fault: StoreDown, Duration: time.Minute}}
+		}, guaranteeCut},
+		{"cut after it ran, a fault elsewhere", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{Fault: PauseNode, Duration: time.Minute, Host: 2}, {Fault: CutZone, Duration: time.Minute, Zone: 2}}
+		}, guaranteeCut},
+		{"cut after it ran, long after a fault", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{At: -time.Minute, Fault: KillNode}}
+		}, guaranteeCut},
+		{"cut after it ran, its node paused", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{Fault: PauseNode, Duration: time.Minute}}
+		}, ""},
+		{"cut after it ran, its upstream killed", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{Fault: KillUpstream, Duration: time.Minute, Host: 1}}
+		}, ""},
+		{"cut after it ran, its zone cut off", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{Fault: CutZone, Duration: time.Minute, Zone: 1}}
+		}, ""},
+		{"not answered in time after it ran", func(obs *Observations) {
+			cut(obs, callerTimeout)
+			obs.Outcomes[0].Err = os.ErrDeadlineExceeded
+		}, ""},
+		{"cut long after its last byte", func(obs *Observations) { cutUnrun(obs, maxCrossing+time.Millisecond) }, guaranteeAnswer},
+		{"cut long after its last byte, its node stops", func(obs *Observations) {
+			cutUnrun(obs, time.Second)
+			obs.Events = []Event{{Fault: StopNode, Duration: time.Minute}, {Fault: PauseNode, Duration: time.Minute, Host: 1}}
+		}, guaranteeAnswer},
+		{"crosses the end of its connection", func(obs *Observations) { cutUnrun(obs, maxCrossing) }, ""},
+		{"cut long after its last byte, its node paused", func(obs *Observations) {
+			cutUnrun(obs, time.Second)
+			obs.Events = []Event{{Fault: PauseNode, Duration: time.Minute}}
+		}, ""},
+		{"cut long after its last byte behind another", func(obs *Observations) {
+			cutUnrun(obs, time.Second)
+			obs.Outcomes[0].Behind = true
+		}, ""},
+		{"cut behind another after it ran", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Outcomes[0].Behind = true
+		}, guaranteeCut},
+		{"cut while it was sent", func(obs *Observations) {
+			cutUnrun(obs, time.Second)
+			obs.Outcomes[0].Whole = time.Time{}
+		}, ""},
 		{"customer within its rate", func(obs *Observations) { repeat(obs, 100, 5*time.Second) }, ""},
 		{"customer beyond its rate", func(obs *Observations) { repeat(obs, 300, 5*time.Second) }, guaranteeRate},
 	} {
@@ -104,15 +156,31 @@
 			obs := &Observations{PlanStart: start, FaultsEnded: start.Add(time.Minute), Outcomes: []Outcome{o}, Records: []mimic.Record{r}}
 			c.change(obs)
 			violations := Check(obs, true)
-			if c.want == "" {
-				assert.Equal(t, len(violations), 0, "%v", violations)
-				return
+			violated := make(map[string]bool)
+			for _, v := range violations {
+				violated[v.Guarantee] = true
 			}
-			assert.Check(t, slices.ContainsFunc(violations, func(v Violation) bool { return v.Guarantee == c.want }), "%v", violations)
+			want := map[string]bool{c.want: true}
+			delete(want, "")
+			assert.DeepEqual(t, violated, want)
 		})
 	}
 }
 
+// cut makes the request of the observations one whose connection ended without a response
+// at a time after it was sent. It ran at the host after its own.
+func cut(obs *Observations, after time.Duration) {
+	o := &obs.Outcomes[0]
+	o.Done, o.Err, o.Response, o.Whole = o.Sent.Add(after), io.EOF, nil, o.Sent
+	obs.Records[0].Instance, obs.InstanceHosts = "i-1", map[string]int{"i-1": 1}
+}
+
+// cutUnrun is like cut for a request that did not run.
+func cutUnrun(obs *Observations, after time.Duration) {
+	cut(obs, after)
+	obs.Records = nil
+}
+
 // repeat adds served requests of the customer with a rate limit, spread evenly over
 // a time.
 func repeat(obs *Observations, requests int, over time.Duration) {
@@ -141,5 +209,6 @@
 // request with a response does not.
 func TestOutcomeCut(t *testing.T) {
 	assert.Check(t, (&Outcome{Err: io.ErrUnexpectedEOF}).cut())
+	assert.Check(t, !(&Outcome{Err: os.ErrDeadlineExceeded}).cut())
 	assert.Check(t, !(&Outcome{Err: errors.New("x"), Response: &mimic.Response{}}).cut())
 }
--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -39,6 +39,8 @@
 	FaultPeriod time.Duration
 	// Out receives the summary and the violations.
 	Out io.Writer
+	// Resting describes the callers at each host that rest between requests.
+	Resting Resting
 	// ProgramPath returns the path of a program's executable.
 	ProgramPath func(name string) (string, error)
 	// CheckTimeBounds is whether to check also the guarantees with a time bound.
@@ -55,11 +57,12 @@
 }
 
 func run(ctx context.Context) error {
-	options := Options{Out: os.Stdout, ProgramPath: procs.SiblingPath, CheckTimeBounds: true}
+	options := Options{Out: os.Stdout, ProgramPath: procs.SiblingPath, CheckTimeBounds: true, Resting: mixedCallers}
 	flag.StringVar(&options.Dir, "dir", filepath.Join(os.TempDir(), "wasabibend-soak"), "the `directory` for logs")
 	flag.IntVar(&options.Events, "events", 14, "the minimum `number` of faults of a seed")
 	flag.IntVar(&options.Hosts, "hosts", 12, "the `number` of hosts, with a node and an upstream each")
 	flag.DurationVar(&options.FaultPeriod, "length", 20*time.Second, "the `time` from the start within which faults begin")
+	flag.IntVar(&options.Resting.Callers, "resting", mixedCallers.Callers, "the `number` of callers at each host that rest between requests")
 	seed := flag.Uint64("seed", 1, "the first `seed`")
 	seeds := flag.Uint64("seeds", 1, "the `number` of seeds")
 	flag.Parse()
@@ -97,6 +100,7 @@
 			served++
 		}
 	}
+	newTally(observations).print(options.Out)
 	fmt.Fprintf(options.Out, "seed %d: %d events, %d of %d requests served, recovered after %v, %d violations\n",
 		seed, len(observations.Events), served, len(observations.Outcomes), observations.RecoveryTime.Round(time.Millisecond), len(violations))
 	for i, v := range violations {
@@ -139,7 +143,11 @@
 	defer log.Close()
 	callersCtx, endCallers := context.WithCancel(ctx)
 	defer endCallers()
-	c := startCallers(callersCtx, b.fleet.Hosts, o)
+	c := newCallers(b.fleet.Hosts, o)
+	c.start(callersCtx)
+	for host := range b.fleet.Hosts {
+		c.startResting(callersCtx, host, seed, options.Resting)
+	}
 	obs := &Observations{PlanStart: time.Now(), Events: plan(seed, options.FaultPeriod, options.Events, options.Hosts, len(zones))}
 	if obs.Events, err = b.injectFaults(ctx, obs.Events, o, func(format string, args ...any) { fmt.Fprintf(log, format+"\n", args...) }); err != nil {
 		return nil, trace.Wrap(err)
@@ -155,8 +163,11 @@
 	endCallers()
 	obs.Outcomes = c.wait()
 	obs.AddedRoutes, obs.WithdrawnKeys = o.changes()
-	obs.Records, err = b.readJournals()
-	return obs, trace.Wrap(err)
+	if err := b.readJournals(obs); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	logCuts(log, obs)
+	return obs, nil
 }
 
 // checkedTime is how long requests are sent after settleTime, for the guarantees that hold
--- a/internal/cmds/soak/operator.go
+++ b/internal/cmds/soak/operator.go
@@ -56,9 +56,9 @@
 	o := &operator{store: objs.New(storeURL), withdrawn: make(map[string]time.Time)}
 	o.catalog = rows.Catalog{
 		Customers: []rows.Customer{{Keys: []string{"key-amis"}, Name: "amis"}, {Burst: limitedBurst, Keys: []string{"key-" + limitedCustomer}, Name: limitedCustomer, Rate: limitedRate}},
-		Limits:    rows.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Limits:    rows.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: idleTimeout},
 		Routes: []rows.Route{
-			route(routeBrowse, "listings", true, false), route(routeTransfer, "ledger", false, false),
+			route(routeBrowse, "listings", true, false), route(routeTransfer, "ledger", false, false), route(routeOrder, "listings", false, false),
 			route(routeLookup, "ledger", true, false), route(routeInner, "ledger", true, true),
 		},
 		Services: []rows.ServiceInfo{{HealthPath: "/healthz", Name: "ledger"}, {HealthPath: "/healthz", Name: "listings"}},
@@ -141,6 +141,15 @@
 	return nil
 }
 
+// setIdleTimeout changes the idle timeout of connections.
+func (o *operator) setIdleTimeout(ctx context.Context, timeout time.Duration) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := o.nextCatalog()
+	next.Limits.IdleTimeout = timeout
+	return o.write(ctx, next)
+}
+
 // withdrawKey withdraws the key of one customer. It does nothing if none is left.
 func (o *operator) withdrawKey(ctx context.Context) error {
 	o.mu.Lock()
--- a/internal/cmds/soak/plan.go
+++ b/internal/cmds/soak/plan.go
@@ -31,6 +31,7 @@
 	StoreRestored Fault = "StoreRestored" // the store comes back from a copy that is as old as the event is long
 	StoreSlow     Fault = "StoreSlow"
 	ChangeCatalog Fault = "ChangeCatalog" // adds a route
+	LowerIdle     Fault = "LowerIdle"     // the configuration allows connections to be idle for a short time only
 	WithdrawKey   Fault = "WithdrawKey"
 )
 
@@ -40,6 +41,7 @@
 	KillNode, KillNode, PauseNode, PauseNode, StopNode, StopNode, StopNode, StopHost, StopHost, KillUpstream, LeaveUpstream, LeaveUpstream,
 	DelayNode, ResetNode, SilenceToNode, SilenceNode, ForgetAll, CutZone, CutStore,
 	StoreDown, StoreForgets, StoreLoses, StoreRestored, StoreSlow, ChangeCatalog, ChangeCatalog, WithdrawKey,
+	LowerIdle, LowerIdle, LowerIdle,
 }
 
 // Event is a fault with its time and target.
@@ -51,6 +53,8 @@
 	// Host and Zone are the indexes of the affected host and availability zone. Which
 	// of them counts depends on the fault.
 	Host, Zone int
+	// IdleTimeout is the idle timeout in force during LowerIdle.
+	IdleTimeout time.Duration
 }
 
 // hitsProcess reports whether the event signals or ends a process.
@@ -73,6 +77,13 @@
 	minFaultDuration = 300 * time.Millisecond
 )
 
+// Idle timeouts of the configuration.
+const (
+	idleTimeout    = 15 * time.Second
+	lowIdleTimeout = 2 * time.Second // the highest during LowerIdle
+	minIdleTimeout = 500 * time.Millisecond
+)
+
 // plan draws at least the given number of events from a seed, sorted by time. Two
 // in five events are followed by the same fault at the next hosts in turn; the
 // faults of such a series may overlap.
@@ -87,6 +98,9 @@
 			Host:     random.IntN(hosts),
 			Zone:     random.IntN(zones),
 		}
+		if e.Fault == LowerIdle {
+			e.IdleTimeout = minIdleTimeout + time.Duration(random.Int64N(int64(lowIdleTimeout-minIdleTimeout)))
+		}
 		all = append(all, e)
 		if random.IntN(5) >= 2 {
 			continue
--- a/internal/cmds/soak/testbed.go
+++ b/internal/cmds/soak/testbed.go
@@ -84,17 +84,20 @@
 	return filepath.Join(b.dir, host.Name+".runs")
 }
 
-// readJournals returns the records that all upstreams have written.
-func (b *testbed) readJournals() ([]mimic.Record, error) {
-	var all []mimic.Record
-	for _, host := range b.fleet.Hosts {
+// readJournals adds the records that all upstreams have written to the observations.
+func (b *testbed) readJournals(obs *Observations) error {
+	obs.InstanceHosts = make(map[string]int)
+	for i, host := range b.fleet.Hosts {
 		records, err := mimic.ReadJournal(b.journalPath(host))
 		if err != nil {
-			return nil, trace.Wrap(err)
+			return trace.Wrap(err)
+		}
+		for _, r := range records {
+			obs.InstanceHosts[r.Instance] = i
 		}
-		all = append(all, records...)
+		obs.Records = append(obs.Records, records...)
 	}
-	return all, nil
+	return nil
 }
 
 // close ends all processes. Their logs are kept.
@@ -185,6 +188,8 @@
 		return o.addRoute(ctx)
 	case WithdrawKey:
 		return o.withdrawKey(ctx)
+	case LowerIdle:
+		return lowerIdle(ctx, e, o)
 	}
 	return nil
 }
@@ -232,6 +237,15 @@
 	return trace.Wrap(process.Start())
 }
 
+// lowerIdle makes the operator lower the idle timeout for the duration of the event.
+func lowerIdle(ctx context.Context, e Event, o *operator) error {
+	if err := o.setIdleTimeout(ctx, e.IdleTimeout); err != nil {
+		return trace.Wrap(err)
+	}
+	time.Sleep(e.Duration)
+	return trace.Wrap(o.setIdleTimeout(ctx, idleTimeout))
+}
+
 // cutZone blocks the connections between the hosts of an availability zone and all
 // other hosts, and those between the zone and the store, for the duration of the
 // event.
