--- /dev/null
+++ b/internal/cmds/soak/idle.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// idleRun is a run at one host of callers that rest, while the idle timeout changes in
+// series. Its hosts have one service.
+type idleRun struct {
+	// descriptors is the number of file descriptors that a node may open, 0 for the
+	// limit of this process.
+	descriptors int
+	// fault is injected beside each time of a low idle timeout, empty for none.
+	fault   Fault
+	resting Resting
+}
+
+// idleHosts is the number of hosts in an idle run: one in each availability zone.
+const idleHosts = 3
+
+// spreadCallers rest for times on both sides of the low idle timeout.
+var spreadCallers = Resting{Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}
+
+// idleRuns are the variants of the idle run.
+var idleRuns = map[string]idleRun{
+	"blind":       {resting: Resting{BlindFraction: 1, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}},
+	"bursts":      {resting: Resting{BurstFraction: 0.5, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}},
+	"descriptors": {descriptors: 1900, resting: spreadCallers},
+	"pause":       {fault: PauseNode, resting: spreadCallers},
+	"plain":       {resting: spreadCallers},
+	"stop":        {fault: StopNode, resting: spreadCallers},
+}
+
+// Times of an idle run.
+const (
+	idleChangeInterval = 5 * time.Second // between two changes of the idle timeout
+	idleChanges        = 3               // times of a low idle timeout
+	// idleFaultLead is how long before a low idle timeout the fault is injected.
+	idleFaultLead = 1500 * time.Millisecond
+	idlePause     = 3 * time.Second
+)
+
+// events returns the events of the run at its first host, which is the one with callers.
+func (r idleRun) events() []Event {
+	var all []Event
+	for i := range idleChanges {
+		at := time.Duration(1+2*i) * idleChangeInterval
+		if r.fault != "" {
+			all = append(all, Event{At: at - idleFaultLead, Duration: idlePause, Fault: r.fault})
+		}
+		all = append(all, Event{At: at, Duration: idleChangeInterval, Fault: LowerIdle, IdleTimeout: lowIdleTimeout})
+	}
+	return all
+}
+
+// programPath returns a function for the paths of programs. If the run limits the
+// descriptors of nodes, that of the node is a script in a directory that sets the limit.
+func (r idleRun) programPath(dir string, programPath func(name string) (string, error)) func(name string) (string, error) {
+	if r.descriptors == 0 {
+		return programPath
+	}
+	return func(name string) (string, error) {
+		path, err := programPath(name)
+		if err != nil || name != "wasabibend" {
+			return path, trace.Wrap(err)
+		}
+		script := filepath.Join(dir, "node.sh")
+		text := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec '%s' \"$@\"\n", r.descriptors, path)
+		return script, trace.ConvertSystemError(os.WriteFile(script, []byte(text), 0o700))
+	}
+}
--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -8,9 +8,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -35,6 +38,8 @@
 	Events int
 	// Hosts is the number of hosts.
 	Hosts int
+	// Idle is the variant of the idle run to play in place of the seed's plan, empty for none.
+	Idle string
 	// FaultPeriod is the time from the start within which faults begin.
 	FaultPeriod time.Duration
 	// Out receives the summary and the violations.
@@ -62,10 +67,14 @@
 	flag.IntVar(&options.Events, "events", 14, "the minimum `number` of faults of a seed")
 	flag.IntVar(&options.Hosts, "hosts", 12, "the `number` of hosts, with a node and an upstream each")
 	flag.DurationVar(&options.FaultPeriod, "length", 20*time.Second, "the `time` from the start within which faults begin")
+	flag.StringVar(&options.Idle, "idle", "", "play, in place of faults, the `variant` of the idle run: "+strings.Join(slices.Sorted(maps.Keys(idleRuns)), ", "))
 	flag.IntVar(&options.Resting.Callers, "resting", mixedCallers.Callers, "the `number` of callers at each host that rest between requests")
 	seed := flag.Uint64("seed", 1, "the first `seed`")
 	seeds := flag.Uint64("seeds", 1, "the `number` of seeds")
 	flag.Parse()
+	if _, ok := idleRuns[options.Idle]; !ok && options.Idle != "" {
+		return trace.BadParameter("-idle %q: no such variant", options.Idle)
+	}
 	violated := 0
 	for s := *seed; s < *seed+*seeds; s++ {
 		violations, err := Soak(ctx, s, options)
@@ -116,11 +125,16 @@
 // maxPrintedViolations is the maximum number of violations printed for a seed.
 const maxPrintedViolations = 10
 
-// collectObservations starts a fleet, injects the faults of a seed's plan, waits for
-// recovery and returns what was observed.
+// collectObservations starts a fleet, injects the faults of a seed's plan or of an idle
+// run, waits for recovery and returns what was observed.
 func collectObservations(ctx context.Context, seed uint64, dir string, options Options) (*Observations, error) {
 	testbedCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	run, isIdle := idleRuns[options.Idle]
+	if isIdle {
+		options.Hosts = idleHosts
+		options.ProgramPath = run.programPath(dir, options.ProgramPath)
+	}
 	b, err := startTestbed(testbedCtx, dir, options.Hosts, options.ProgramPath)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -144,21 +158,29 @@
 	callersCtx, endCallers := context.WithCancel(ctx)
 	defer endCallers()
 	c := newCallers(b.fleet.Hosts, o)
-	c.start(callersCtx)
-	for host := range b.fleet.Hosts {
-		c.startResting(callersCtx, host, seed, options.Resting)
+	obs := &Observations{PlanStart: time.Now()}
+	if isIdle {
+		c.startResting(callersCtx, 0, seed, run.resting)
+		obs.Events = run.events()
+	} else {
+		c.start(callersCtx)
+		for host := range b.fleet.Hosts {
+			c.startResting(callersCtx, host, seed, options.Resting)
+		}
+		obs.Events = plan(seed, options.FaultPeriod, options.Events, options.Hosts, len(zones))
 	}
-	obs := &Observations{PlanStart: time.Now(), Events: plan(seed, options.FaultPeriod, options.Events, options.Hosts, len(zones))}
 	if obs.Events, err = b.injectFaults(ctx, obs.Events, o, func(format string, args ...any) { fmt.Fprintf(log, format+"\n", args...) }); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	obs.FaultsEnded = time.Now()
-	if err := awaitRecovery(ctx, c); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	obs.RecoveryTime = time.Since(obs.FaultsEnded)
-	if err := pause.For(ctx, time.Until(obs.FaultsEnded.Add(settleTime+checkedTime))); err != nil {
-		return nil, trace.Wrap(err)
+	if !isIdle {
+		if err := awaitRecovery(ctx, c); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		obs.RecoveryTime = time.Since(obs.FaultsEnded)
+		if err := pause.For(ctx, time.Until(obs.FaultsEnded.Add(settleTime+checkedTime))); err != nil {
+			return nil, trace.Wrap(err)
+		}
 	}
 	endCallers()
 	obs.Outcomes = c.wait()
