Keep a link open when a call on it is cancelled

A call whose context had ended before its frame was written, while it waited for the frame of another call or during its write closed the whole link. All other calls that awaited answers on the link failed. A request that waits for its customer's rate asks with its caller's context, and then asks the next zone with the ended one; so a caller that left could turn other callers' requests at the same node, which were within their rates, into refusals (RateUnavailable), and fail claims.

Cause: send closed the link after each error of a write, and the WebSocket library closes the connection when the context of a write ends. Change: frames take turns outside of the library, nothing is written once the context has ended, and a write runs to its end within the time limit of its call. A write that does not end by then still closes the link, as a part of the frame may have been written.

--- a/internal/conn/links/link.go
+++ b/internal/conn/links/link.go
@@ -40,6 +40,7 @@
 	mesh     *Mesh
 	openedAt time.Time
 	peer     netip.AddrPort
+	writing  chan struct{} // has an element while a frame is written
 
 	mu      sync.Mutex
 	late    map[uint64]time.Time // by request ID: when requests were sent whose calls have ended
@@ -56,7 +57,7 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	conn.SetReadLimit(maxFrame)
 	now := time.Now()
-	return &link{cancel: cancel, conn: conn, ctx: ctx, late: make(map[uint64]time.Time), mesh: m, openedAt: now, peer: peer, pending: make(map[uint64]chan wire.Frame), readAt: now}
+	return &link{cancel: cancel, conn: conn, ctx: ctx, late: make(map[uint64]time.Time), mesh: m, openedAt: now, peer: peer, pending: make(map[uint64]chan wire.Frame), readAt: now, writing: make(chan struct{}, 1)}
 }
 
 func (l *link) closed() bool {
@@ -192,14 +193,32 @@
 	delete(l.pending, id)
 }
 
-// send writes a frame. If the write fails or the context ends first, it closes
-// the link, as a part of the frame may have been written.
+// send writes a frame. If the write fails, or does not end within the time limit of the
+// context, or dialTimeout if it has none, it closes the link, as a part of the frame may have
+// been written. It writes nothing if the context has ended, and a cancellation does not
+// interrupt the write: other calls wait for answers on the link.
 func (l *link) send(ctx context.Context, frame wire.Frame) error {
 	data, err := wire.Encode(frame)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+	select {
+	case l.writing <- struct{}{}:
+		defer func() { <-l.writing }()
+	case <-ctx.Done():
+	case <-l.ctx.Done():
+		return trace.ConnectionProblem(nil, "the link to %v is closed", l.peer)
+	}
+	if err := ctx.Err(); err != nil {
+		return trace.Wrap(err)
+	}
+	end, limited := ctx.Deadline()
+	if !limited {
+		end = time.Now().Add(dialTimeout)
+	}
+	writeCtx, cancel := context.WithDeadline(l.ctx, end)
+	defer cancel()
+	if err := l.conn.Write(writeCtx, websocket.MessageBinary, data); err != nil {
 		l.close()
 		return trace.ConnectionProblem(err, "cannot write to the link to %v", l.peer)
 	}
--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -29,7 +29,7 @@
 
 // Limits of links.
 const (
-	dialTimeout     = time.Second // also for writing an answer
+	dialTimeout     = time.Second // also for writing a frame
 	idleTimeout     = time.Minute
 	maxFrame        = 2 << 20 // bytes
 	maxLinks        = 16384   // accepted from other nodes
--- a/internal/conn/links/silent_test.go
+++ b/internal/conn/links/silent_test.go
@@ -179,7 +179,7 @@
 // DialContext implements Dialer.
 func (n *pipeNetwork) DialContext(context.Context, string, string) (net.Conn, error) {
 	caller, peer := net.Pipe()
-	c := &silentConn{Conn: caller, closed: make(chan struct{})}
+	c := &silentConn{Conn: caller, closed: make(chan struct{}), holding: make(chan struct{}, 1)}
 	n.conns = append(n.conns, c)
 	n.accept <- peer
 	return c, nil
@@ -208,11 +208,12 @@
 // silentConn is a connection that can lose all bytes in one direction or both.
 type silentConn struct {
 	net.Conn
-	closed chan struct{}
-	once   sync.Once
+	closed  chan struct{}
+	holding chan struct{} // has an element while writes wait
+	once    sync.Once
 
-	mu                        sync.Mutex
-	silentReads, silentWrites bool
+	mu                                 sync.Mutex
+	blocked, silentReads, silentWrites bool
 }
 
 func (c *silentConn) setSilent(reads, writes bool) {
@@ -221,6 +222,13 @@
 	c.silentReads, c.silentWrites = reads, writes
 }
 
+// setBlocked makes writes wait until the connection is closed.
+func (c *silentConn) setBlocked() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked = true
+}
+
 // Read implements net.Conn. Once reads are silent it blocks until the connection is closed.
 func (c *silentConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -237,11 +245,21 @@
 // Write implements net.Conn.
 func (c *silentConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	silent := c.silentWrites
+	blocked, silent := c.blocked, c.silentWrites
 	c.mu.Unlock()
-	if silent {
+	switch {
+	case silent:
 		return len(p), nil
+	case blocked:
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case c.holding <- struct{}{}:
 	}
+	defer func() { <-c.holding }()
 	return c.Conn.Write(p)
 }
 
