Send interim answers while a call waits at the gate or for its body

A node told the sender of a call that it was alive only from the time at which the call was sent to the upstream. A call that waited for 1.2 s at the gate, or for the first chunk of a body from a slow caller, was taken for one at a silent node. The sender then gave up one that may be repeated, as one that may have run: the caller got a failure (502), or the request cost a retry at another node. In both cases, and for calls that may run once, the node was ejected and got no other calls for a time, and the sender closed its idle connections to it. At the gate, sub-calls with an objective wait until their deadline, and root requests until their objective, so that long waits belong to a service under load.

Cause: the interim answers began behind the gate, because the server writes 100 Continue on the first read of the body, which must not coincide with another write. Change: they begin when the call arrives, and 100 Continue is written under the same lock before the body is read. Calls to the upstream begin when they did.

Failed before, in 6 of the 7 cases of TestLongWaitAtGate ("hardly waits" passed): waits_test.go: refusal is not nil: UpstreamFailed (MayHaveRun): the upstream's node did not answer: sent without an answer: read pipe: i/o timeout for requests that may be repeated, and waits_test.go: ejected is true: the node gets no other calls for the others.

Run on arm64: internal/request/relay with -race, internal/process/node, platform. GOARCH=amd64 go vet of the package passes.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -64,8 +64,10 @@
 	if req.ContentLength != 0 {
 		defer watchCaller(ctx, cancel).stop()
 	}
+	hb := startHeartbeat(w)
 	lc, refusal := r.enterGate(ctx, now, c, req.Header.Get(chain.HeaderAlternative) != "")
 	if refusal != nil {
+		hb.stop()
 		r.refusePeer(w, c, c.Retries, refusal)
 		return
 	}
@@ -73,7 +75,11 @@
 	if body != nil {
 		defer body.stop()
 	}
-	hb := startHeartbeat(w)
+	if req.Header.Get("Expect") != "" {
+		hb.sendContinue()
+		// An empty read waits for the first chunk of a body without a length.
+		_, _ = req.Body.Read(nil)
+	}
 	pending, left, refusal := lc.call(request)
 	hb.stop()
 	if refusal != nil {
@@ -125,9 +131,6 @@
 	body := newUpload(w, req, r.Idle, 0, cancel)
 	request.Trailer = body.trailer
 	request.Body = body
-	// An empty read makes the server send 100 Continue, for which the other node
-	// waits before it sends the body.
-	_, _ = req.Body.Read(nil)
 	return request, body
 }
 
@@ -436,8 +439,9 @@
 }
 
 // heartbeat sends interim responses until the final response is ready, so that the
-// other node can tell a slow upstream from a dead connection. The lock keeps it from
-// using the writer after stop, when the handler uses it.
+// other node can tell a call that waits at the gate, for the rest of its body or for the
+// upstream from a dead connection. The lock keeps it from using the writer after stop, when
+// the handler uses it.
 type heartbeat struct {
 	mu      sync.Mutex
 	stopped bool
@@ -464,6 +468,14 @@
 	h.timer.Reset(heartbeatInterval)
 }
 
+// sendContinue sends 100 Continue, for which the other node waits before it sends the body.
+// The first read of the body would send it too, but not under the lock.
+func (h *heartbeat) sendContinue() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.writer.WriteHeader(http.StatusContinue)
+}
+
 func (h *heartbeat) stop() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
