Take an answer that is there although its time limit is over

A process that had been paused for longer than a time limit found the limit over and the answer in the socket at once, and gave the call up: Go's reads fail after their deadline without a look at the data. The caller got a failure in place of the answer (502), or the request cost a retry, and the idle connections to the address were closed. The limits concerned are 1.2 s without a byte from another node, FirstByte and Idle towards upstreams, and the deadline of the call.

Change: a read that finds its deadline over goes on for 10 ms. After the end of the call it does so once only, so that a server that sends without end is not read on. A call that really times out ends 10 ms later.

Eight of the ten cases of TestPausedProcess failed before, each with paused_test.go:59: error is not nil: [sent without an answer:] read pipe: i/o timeout The two whose response must not be accepted passed.

Not changed: reads of callers' bodies, which fail after a pause of 30 s (Idle), and the HTTP server's limits for headers (10 s) and idle connections (2 minutes).

GOARCH=amd64 go vet of the package passes.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -12,7 +12,8 @@
 // conn is a connection with its buffers. It carries one request at a time.
 type conn struct {
 	net.Conn
-	limit       *readLimit // of reader
+	late        *lateReader // below limit
+	limit       *readLimit  // of reader
 	reader      *bufio.Reader
 	idleTime    time.Duration // before the current request; 0 for a new connection
 	usedAt      time.Time     // end of the last exchange
@@ -24,7 +25,8 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc, limit: &readLimit{left: noLimit, reader: nc}}
+	late := &lateReader{conn: nc}
+	c := &conn{Conn: nc, late: late, limit: &readLimit{left: noLimit, reader: late}}
 	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
 	c.writer = bufio.NewWriterSize(nc, bufferSize)
 	return c
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -31,6 +31,7 @@
 // run sends the request and returns the final response. It reads past interim
 // responses and up to maxSkipped responses to other requests.
 func (e *exchange) run() (*http.Response, error) {
+	e.conn.late.begin(e.call.Deadline)
 	if err := e.conn.SetDeadline(e.call.Deadline); err != nil {
 		return nil, err
 	}
