Mark down only the instance that a failed request was for

A request that got 421, or whose connection failed, marked the upstream beside the node as down, whichever instance that was by then. If another instance had announced itself after the request was admitted, the node took the sound one for absent until its next announcement: requests that waited at the gate were refused, and none were sent to it. 421 is what the next instance answers to a request for the one before.

Cause: the decision was made for one instance and applied to another; MarkLeaving and Accepts name the instance, MarkDown did not. Change: it does.

Failed before, with the old call in the new step of TestUpstream: upstream_test.go:80: Absent != Ready: failed request to an earlier instance

Run on arm64: the tests of the upstream in internal/process/node, internal/request/relay and TestLimit* of platform.

--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -294,12 +294,15 @@
 	return false
 }
 
-// MarkDown marks the upstream as down: it is absent until it announces itself again.
-// It implements relay.LocalUpstream.
-func (u *upstream) MarkDown() {
+// MarkDown marks an instance of the upstream as down, because a request to it failed: it is
+// absent until it announces itself again. It has no effect once another instance has
+// announced itself. It implements relay.LocalUpstream.
+func (u *upstream) MarkDown(instance string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.announcedAt = time.Time{}
+	if u.current.Instance == instance {
+		u.announcedAt = time.Time{}
+	}
 }
 
 // MarkLeaving marks an instance of the upstream as draining, because it has said in a
--- a/internal/process/node/upstream_test.go
+++ b/internal/process/node/upstream_test.go
@@ -13,8 +13,9 @@
 )
 
 // TestUpstream guards against wrong states of the upstream when its announcements
-// and deregistrations arrive late, twice or out of order. Each step applies one of
-// them and checks whether it was accepted and the resulting readiness.
+// and deregistrations, or the failures of requests to it, arrive late, twice or out of
+// order. Each step applies one of them and checks whether it was accepted and the
+// resulting readiness.
 func TestUpstream(t *testing.T) {
 	start := time.Unix(1000, 0)
 	born := func(s int) time.Time { return time.Unix(int64(900+s), 0) }
@@ -39,6 +40,12 @@
 			return true
 		}
 	}
+	down := func(instance string) func(time.Time) bool {
+		return func(time.Time) bool {
+			u.MarkDown(instance)
+			return true
+		}
+	}
 	noEvent := func(time.Time) bool { return true }
 	for _, c := range []struct {
 		name     string
@@ -59,11 +66,14 @@
 		{"announcement of a deregistered start", 7 * time.Second, announce("b", born(4), 2, false), false, member.Draining},
 		{"new start with the same instance ID", 8 * time.Second, announce("b", born(8), 1, false), true, member.Ready},
 		{"response of an earlier instance that it leaves", 8 * time.Second, leave("a"), true, member.Ready},
+		{"failed request to an earlier instance", 8 * time.Second, down("a"), true, member.Ready},
 		{"response that it leaves", 9 * time.Second, leave("b"), true, member.Draining},
 		{"later announcement does not revoke leaving", 9 * time.Second, announce("b", born(8), 2, false), true, member.Draining},
-		{"announcement has expired", 19 * time.Second, noEvent, true, member.Absent},
-		{"deregistration of an instance that has not announced itself", 19 * time.Second, deregister("c", born(20)), true, member.Absent},
-		{"late announcement of that instance", 20 * time.Second, announce("c", born(20), 1, false), false, member.Absent},
+		{"failed request", 10 * time.Second, down("b"), true, member.Absent},
+		{"announcement after the failed request", 11 * time.Second, announce("b", born(8), 3, false), true, member.Draining},
+		{"announcement has expired", 21 * time.Second, noEvent, true, member.Absent},
+		{"deregistration of an instance that has not announced itself", 21 * time.Second, deregister("c", born(20)), true, member.Absent},
+		{"late announcement of that instance", 22 * time.Second, announce("c", born(20), 1, false), false, member.Absent},
 	} {
 		now := start.Add(c.after)
 		assert.Equal(t, c.do(now), c.accepted, c.name)
@@ -99,7 +109,7 @@
 		{"leaves by its response", 6 * time.Second, func(now time.Time) { u.MarkLeaving(now, "a") }, true},
 		{"deregisters", 6500 * time.Millisecond, func(now time.Time) { u.deregister(now, "a", time.Time{}) }, true},
 		{"has left", 6*time.Second + queuedDrainTime, none, false},
-		{"down", 8 * time.Second, func(time.Time) { u.MarkDown() }, false},
+		{"down", 8 * time.Second, func(time.Time) { u.MarkDown("a") }, false},
 	} {
 		now := start.Add(c.after)
 		c.do(now)
@@ -126,7 +136,7 @@
 	probe := func(instance string, cold time.Duration) func(time.Time) {
 		return func(now time.Time) { u.observeProbe(now, admin.Announcement{Cold: cold, Instance: instance}) }
 	}
-	down := func(time.Time) { u.MarkDown() }
+	down := func(time.Time) { u.MarkDown(u.announcement().Instance) }
 	for _, c := range []struct {
 		name  string
 		after time.Duration
--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -53,7 +53,7 @@
 }
 
 // MarkDown implements LocalUpstream.
-func (fakeDeps) MarkDown() {}
+func (fakeDeps) MarkDown(string) {}
 
 // MarkLeaving implements LocalUpstream.
 func (fakeDeps) MarkLeaving(time.Time, string) {}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -368,7 +368,7 @@
 func (lc *localCall) refusalForResponse(info ResponseInfo) *refuse.Refusal {
 	switch {
 	case info.AddressReused:
-		lc.relay.Local.MarkDown()
+		lc.relay.Local.MarkDown(lc.instance)
 		return refuse.New(refuse.NoUpstream, defaultRetryAfter, "another upstream has taken the address")
 	case info.NotRun:
 		return refuse.New(refuse.Shed, defaultRetryAfter, "the upstream turned the request away")
@@ -385,10 +385,10 @@
 	case !errors.As(err, &sendErr) || lc.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
 		return false
 	case !sendErr.Sent:
-		lc.relay.Local.MarkDown()
+		lc.relay.Local.MarkDown(lc.instance)
 		return false
 	case !acceptsConnections(lc.address):
-		lc.relay.Local.MarkDown()
+		lc.relay.Local.MarkDown(lc.instance)
 		lc.relay.Crashes.ReportCrash(time.Now())
 		return true
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -91,8 +91,8 @@
 	// upstream may still be sent to it. An instance that leaves takes such requests for a
 	// short time.
 	Accepts(now time.Time, instance string) bool
-	// MarkDown marks the upstream as down until it announces itself again.
-	MarkDown()
+	// MarkDown marks an instance of the upstream as down until it announces itself again.
+	MarkDown(instance string)
 	// MarkLeaving marks an instance of the upstream as about to end. It takes no new
 	// requests.
 	MarkLeaving(now time.Time, instance string)
