Close connections in use when the server is closed

At the end of the time for a stop, http.Server.Close closes the connections whose requests are still in progress. It only closed their write side, so net/http went on reading, and the requests were not canceled: a handler that waits for its context ran on until the caller closed its side. Callers saw a closed connection either way. The closes were counted as Answer.

Cause: Conn.Close takes each close of a connection that is not idle for one behind an answer. Fix: net/http closes behind an answer only when no read is in progress, so a close during a read closes the connection; a read that begins after a close fails.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -18,7 +18,7 @@
 	closedByCaller  = "Caller"  // the caller closed or reset it
 	closedIdle      = "Idle"    // it was idle for the idle timeout
 	closedResponse  = "Answer"  // a response closed it, or was cut
-	closedStop      = "Stop"    // it was idle when the node stopped
+	closedStop      = "Stop"    // the node stopped
 	closedOnTimeout = "Timeout" // no whole header came in time
 )
 
@@ -43,6 +43,7 @@
 	idleSince time.Time
 	lingers   bool  // only its write side has been closed, linger does the rest
 	readErr   error // of the last read
+	reading   bool  // a call of Read is in progress
 	received  bool  // bytes were read since it became idle
 	tracked   bool  // a Tracker calls linger
 }
@@ -55,6 +56,9 @@
 // Read implements net.Conn. Bytes that have arrived are read even if the read deadline has
 // passed, as it may have passed while the process was paused.
 func (c *Conn) Read(p []byte) (int, error) {
+	if !c.beginRead() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.TCPConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		if late, lateErr := c.recv(p, 0); lateErr == nil || errors.Is(lateErr, io.EOF) {
@@ -64,6 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readErr = err
+	c.reading = false
 	if n > 0 {
 		c.received = true
 		c.cancelEnd()
@@ -71,6 +76,15 @@
 	return n, err
 }
 
+// beginRead records that a call of Read is in progress, or returns false if the connection
+// has been closed.
+func (c *Conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = c.closedAs == ""
+	return c.reading
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -127,7 +141,9 @@
 		return closedByCaller
 	case c.idle && c.readErr != nil:
 		reason = closedOnTimeout
-	case c.idle:
+	case c.idle || c.reading:
+		// net/http closes a connection behind an answer only when it does not read it, so
+		// this is http.Server.Close.
 		reason = closedStop
 	}
 	switch {
