Do not cut the answer to a request that does not parse

On a kept connection, a caller whose request does not parse got a reset in place of the answer 400 if more of its bytes were unread (64 KB behind the header), and the close was counted as StopPartial.

Cause: net/http reports a kept connection as active once the request has been parsed, so the connection still counted as idle when this answer closed it, and was closed with bytes unread. Fix: a close of an idle connection of which bytes were read, without a read in progress, is that behind an answer; linger then does the rest.

TestServe/malformed (reset) and TestServe/reason (StopPartial) failed before and pass in 20 runs. arm64.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -141,9 +141,10 @@
 		return closedByCaller
 	case c.idle && c.readErr != nil:
 		reason = closedOnTimeout
-	case c.idle || c.reading:
+	case c.reading || c.idle && !c.received:
 		// net/http closes a connection behind an answer only when it does not read it, so
-		// this is http.Server.Close.
+		// a close during a read is that of http.Server.Close. It answers a request that does
+		// not parse while the connection still counts as idle.
 		reason = closedStop
 	}
 	switch {
