Limit the wait for the first bytes of a request

A caller that sent one to three bytes on a kept connection and then nothing kept it for the two minutes of the server's idle timeout, whatever the idle limit was, and also while connections were many: CloseIdle spares a connection of which bytes have been read, and net/http sets the deadline of the header only once it has four bytes. A stop waited for such a connection until its time was over.

Fix: the reader sets a deadline of 10 s when it has read fewer bytes than that. A stop still waits for so long, within its time.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -70,8 +70,9 @@
 	c.readErr = err
 	c.reading = false
 	if n > 0 {
-		c.received = true
 		c.cancelEnd()
+		c.limitHeader(time.Now(), n)
+		c.received = true
 	}
 	return n, err
 }
@@ -85,6 +86,26 @@
 	return c.reading
 }
 
+const (
+	// firstBytes is the number of bytes of a request for which net/http waits under the idle
+	// timeout, before it sets the deadline of the header.
+	firstBytes = 4
+	// firstBytesTimeout is how long these may take from the first one on.
+	firstBytesTimeout = 10 * time.Second
+)
+
+// limitHeader limits the wait for the rest of a request of which only n bytes have been
+// read on an idle connection, as end no longer closes it. The lock must be held.
+func (c *Conn) limitHeader(now time.Time, n int) {
+	deadline := now.Add(firstBytesTimeout)
+	if !c.idle || c.received || n >= firstBytes || !c.deadline.IsZero() && c.deadline.Before(deadline) {
+		return
+	}
+	c.deadline = deadline
+	// An error means that the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(deadline)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
