Close the listener before waiting for connections

On a host where the kernel rejects the socket filter, a stop went on accepting callers until no connection was open at some moment, since Tracker.Shutdown waits for that before http.Server.Shutdown closes the listener. A request that is read once http.Server.Shutdown has begun is dropped without an answer, so none may arrive then.

Fix: Quiesce closes the listener when the backlog is empty. Closing it again does nothing.

--- a/internal/conn/conns/listener.go
+++ b/internal/conn/conns/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -28,7 +29,8 @@
 // returned yet.
 type Listener struct {
 	*net.TCPListener
-	accepting atomic.Bool        // whether a call of Accept is in progress
+	accepting atomic.Bool // whether a call of Accept is in progress
+	closed    atomic.Bool
 	filter    func(fd int) error // makes the kernel accept no new connections
 }
 
@@ -55,12 +57,20 @@
 	return newConn(conn), nil
 }
 
-// Quiesce makes the kernel accept no new connections, and waits until Accept has
-// returned all those in the backlog. After that, closing the listener resets no
-// connection. Accept must be called in a loop meanwhile. Quiesce returns an error
-// if the context ends first. It also returns one if the kernel rejects the socket filter;
-// the backlog was empty then, but connections that are opened between Quiesce and the
-// close may be reset.
+// Close implements net.Listener. It does nothing if the listener is closed, as by Quiesce.
+func (l *Listener) Close() error {
+	if l.closed.Swap(true) {
+		return nil
+	}
+	return l.TCPListener.Close()
+}
+
+// Quiesce makes the kernel accept no new connections, waits until Accept has returned all
+// those in the backlog, and closes the listener, which resets no connection then. Accept
+// must be called in a loop meanwhile. Quiesce returns an error if the context ends first,
+// and does not close the listener then. It also returns one if the kernel rejects the socket
+// filter; the backlog was empty then, but connections that were opened just before the close
+// may be reset.
 func (l *Listener) Quiesce(ctx context.Context) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -88,7 +98,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	return trace.Wrap(filterErr)
+	return trace.Wrap(errors.Join(filterErr, l.Close()))
 }
 
 // Offset of the byte with the flags in a TCP header, and bits of it.
