Reset the connection behind a cut answer without a length

A caller with HTTP/1.0 gets an answer without a length whose end is that of the connection. When a node or an upstream broke off such an answer, the caller got a part of it that looked complete: http.ErrAbortHandler closes the connection, which ends it as usual unless bytes are unread. The write side is closed first now, so that no reset follows even then.

Fix: the connection is reset in this case. Callers with HTTP/1.1 get chunks without the last one, as before.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -36,6 +36,7 @@
 	idleTimeout time.Duration // when the last request started; guarded by the Tracker's lock
 
 	mu        sync.Mutex
+	aborted   bool   // Abort was called
 	closedAs  string // reason with its suffix, empty while the connection is open
 	deadline  time.Time
 	endReason string // why the connection is to be ended once it is idle, empty if it is not
@@ -125,13 +126,22 @@
 	if c.closedAs == "" {
 		c.closedAs = c.closeReason()
 	}
-	if c.tracked && strings.HasPrefix(c.closedAs, closedResponse) {
+	if c.tracked && !c.aborted && strings.HasPrefix(c.closedAs, closedResponse) {
 		c.lingers = true
 		return c.CloseWrite()
 	}
 	return c.TCPConn.Close()
 }
 
+// Abort makes Close reset the connection, so that the caller of a cut answer whose end is
+// that of the connection does not take it for complete.
+func (c *Conn) Abort() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	return c.SetLinger(0)
+}
+
 // lingerTime is how long the bytes behind an answer that closes its connection are read.
 const lingerTime = time.Second
 
--- a/internal/request/relay/caller.go
+++ b/internal/request/relay/caller.go
@@ -108,3 +108,12 @@
 	}
 	return closed
 }
+
+// resetOnClose makes the close of the connection in ctx reset it, as the end of a response
+// without a length to a caller with HTTP/1.0 is that of the connection.
+func resetOnClose(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(interface{ Abort() error }); ok {
+		// An error means that the connection is closed already.
+		_ = conn.Abort()
+	}
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -21,10 +21,10 @@
 	return &b
 }}
 
-// stream writes a response to w. If its body is cut, it aborts the connection with
+// stream writes the response to req to w. If its body is cut, it aborts the connection with
 // http.ErrAbortHandler, so that the response does not look complete. The request may still
 // be read from the upload, which may be nil.
-func (r *Relay) stream(w http.ResponseWriter, pending *pendingResponse, u *upload) {
+func (r *Relay) stream(w http.ResponseWriter, req *http.Request, pending *pendingResponse, u *upload) {
 	response := pending.response
 	header := w.Header()
 	for name, values := range response.Header {
@@ -48,6 +48,9 @@
 	}()
 	if err := copyBody(w, response); err != nil {
 		r.Stats.Answers.Add("Cut", 1)
+		if response.ContentLength < 0 && !req.ProtoAtLeast(1, 1) {
+			resetOnClose(req.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	complete = true
