List the table and the keys beside objects that are not valid

What operators saw: with one row or key in the store that does not decode, table export, diff and import and key list and withdraw ended with an error, and the row could not be written anew, which docs/OPERATIONS.md asks for.

Cause: Rows and Keys returned the error of the first such object, and each edit decoded the object that it replaces. Rows also listed an object whose row belongs to another key, which nodes reject.

Change: Rows and Keys return the other objects and the keys of those that are not valid; the commands print how many are left out, and the first one, as errors. PutRow, which import uses, replaces a whole row by a conditional write on its version, also one that is not valid. table set and delete refuse that as before: the columns that they keep cannot be read. A key that does not decode cannot be withdrawn, as its customer is unknown; nodes go on with its last valid state.

--- a/internal/cmdln/keycmd.go
+++ b/internal/cmdln/keycmd.go
@@ -54,10 +54,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	keys, err := edits.New(objs.New(*address)).Keys(ctx)
+	keys, unreadable, err := edits.New(objs.New(*address)).Keys(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	warnUnreadable(c, unreadable)
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "CUSTOMER\tHASH\tSTATE")
 	for _, key := range keys {
@@ -79,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	editor := edits.New(objs.New(*address))
-	hash, err := findHash(ctx, editor, flags.Arg(0))
+	hash, err := findHash(ctx, c, editor, flags.Arg(0))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -93,14 +94,15 @@
 // findHash returns the full hash of a key, which is given in full or by the first
 // digits of its hash, at least four. If these do not match exactly one key, the
 // error is of the kind trace.NotFound.
-func findHash(ctx context.Context, editor *edits.Editor, name string) (string, error) {
+func findHash(ctx context.Context, c *console, editor *edits.Editor, name string) (string, error) {
 	if strings.HasPrefix(name, kinds.APIKeyPrefix) {
 		return kinds.HashAPIKey(name), nil
 	}
-	keys, err := editor.Keys(ctx)
+	keys, unreadable, err := editor.Keys(ctx)
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
+	warnUnreadable(c, unreadable)
 	var matches []string
 	for _, key := range keys {
 		if len(name) >= 4 && strings.HasPrefix(key.Hash, name) {
--- a/internal/cmdln/tablecmd.go
+++ b/internal/cmdln/tablecmd.go
@@ -69,7 +69,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	changes, err := t.compare(ctx, t.operands[0])
+	changes, err := t.compare(ctx, c, t.operands[0])
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -79,6 +79,13 @@
 	return nil
 }
 
+// warnUnreadable tells which objects are left out of a list, because they are not valid.
+func warnUnreadable(c *console, keys []string) {
+	if len(keys) > 0 {
+		fmt.Fprintf(c.err, "%d objects are not valid and left out, the first one is %s\n", len(keys), keys[0])
+	}
+}
+
 func runTableExport(ctx context.Context, c *console, args []string) error {
 	t, err := newTableCall(c, "export", "", args, 0, 0)
 	if err != nil {
@@ -86,10 +93,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	stored, err := t.editor.Rows(ctx)
+	stored, unreadable, err := t.editor.Rows(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	warnUnreadable(c, unreadable)
 	table := make([]rows.Row, 0, len(stored))
 	for _, row := range stored {
 		table = append(table, row.Row)
@@ -148,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	changes, err := t.compare(ctx, t.operands[0])
+	changes, err := t.compare(ctx, c, t.operands[0])
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -169,11 +177,7 @@
 func (t *tableCall) apply(ctx context.Context, change tableChange) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := t.editor.SetRow(ctx, time.Now(), change.fileRow.Route, change.fileRow.Customer, change.version, func(row *rows.Row) error {
-		*row = *change.fileRow
-		return nil
-	})
-	return trace.Wrap(err)
+	return trace.Wrap(t.editor.PutRow(ctx, time.Now(), *change.fileRow, change.version))
 }
 
 func runTableSet(ctx context.Context, c *console, args []string) error {
@@ -222,15 +226,16 @@
 
 // compare returns the rows that differ between the table and a CSV file: first
 // those in the file, in its order, then those that only the table has.
-func (t *tableCall) compare(ctx context.Context, file string) ([]tableChange, error) {
+func (t *tableCall) compare(ctx context.Context, c *console, file string) ([]tableChange, error) {
 	fileRows, err := loadTable(file)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	storedRows, err := t.editor.Rows(ctx)
+	storedRows, unreadable, err := t.editor.Rows(ctx)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	warnUnreadable(c, unreadable)
 	unmatched := make(map[[2]string]*edits.VersionedRow)
 	for i := range storedRows {
 		unmatched[[2]string{storedRows[i].Row.Route, storedRows[i].Row.Customer}] = &storedRows[i]
--- a/internal/version/edits/edits.go
+++ b/internal/version/edits/edits.go
@@ -76,17 +76,18 @@
 	Version uint64
 }
 
-// Rows returns all rows that are not deleted, sorted by route and customer.
-func (e *Editor) Rows(ctx context.Context) ([]VersionedRow, error) {
+// Rows returns all rows that are not deleted, sorted by route and customer, and the keys of
+// the objects that are not valid rows. Nodes use the last valid row of such a key, if any.
+func (e *Editor) Rows(ctx context.Context) (table []VersionedRow, unreadable []string, err error) {
 	listing, err := e.store.List(ctx, kinds.PrefixRows)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
 	}
-	var table []VersionedRow
 	for _, object := range listing.Objects {
 		row := VersionedRow{Version: object.Version}
-		if err := kinds.Decode(object.Value, &row.RowObject); err != nil {
-			return nil, trace.BadParameter("%s: %v", object.Key, err)
+		if err := decodeRow(object, &row.RowObject); err != nil {
+			unreadable = append(unreadable, object.Key)
+			continue
 		}
 		if !row.Deleted {
 			table = append(table, row)
@@ -95,7 +96,18 @@
 	slices.SortFunc(table, func(a, b VersionedRow) int {
 		return strings.Compare(a.Row.Route+"\x00"+a.Row.Customer, b.Row.Route+"\x00"+b.Row.Customer)
 	})
-	return table, nil
+	return table, unreadable, nil
+}
+
+// decodeRow decodes an object, which must have the key of its row.
+func decodeRow(object store.Object, into *kinds.RowObject) error {
+	if err := kinds.Decode(object.Value, into); err != nil {
+		return trace.Wrap(err)
+	}
+	if kinds.RowKey(into.Row.Route, into.Row.Customer) != object.Key {
+		return trace.BadParameter("%s: the row belongs to another key", object.Key)
+	}
+	return nil
 }
 
 // Row returns a row with its history, even if it is deleted. If there never was
@@ -117,7 +129,7 @@
 // version, the error is a *Conflict.
 func (e *Editor) SetRow(ctx context.Context, now time.Time, route, customer string, base uint64, change func(*rows.Row) error) (*rows.Row, error) {
 	var written *rows.Row
-	err := e.editRow(ctx, now, route, customer, base, func(o *kinds.RowObject) error {
+	err := e.editRow(ctx, now, route, customer, base, false, func(o *kinds.RowObject) error {
 		if err := change(&o.Row); err != nil {
 			return trace.Wrap(err)
 		}
@@ -131,11 +143,20 @@
 	return written, trace.Wrap(err)
 }
 
+// PutRow replaces a whole row, also one whose object is not valid. The base has the same
+// meaning as in SetRow.
+func (e *Editor) PutRow(ctx context.Context, now time.Time, row rows.Row, base uint64) error {
+	return trace.Wrap(e.editRow(ctx, now, row.Route, row.Customer, base, true, func(o *kinds.RowObject) error {
+		o.Row, o.Deleted = row, false
+		return nil
+	}))
+}
+
 // DeleteRow marks a row as deleted; its object stays, with its history. The base
 // has the same meaning as in SetRow. If the row is missing or deleted already, the
 // error is of the kind trace.NotFound.
 func (e *Editor) DeleteRow(ctx context.Context, now time.Time, route, customer string, base uint64) error {
-	return trace.Wrap(e.editRow(ctx, now, route, customer, base, func(o *kinds.RowObject) error {
+	return trace.Wrap(e.editRow(ctx, now, route, customer, base, false, func(o *kinds.RowObject) error {
 		if len(o.Edits) == 0 || o.Deleted {
 			return trace.NotFound("there is no row for route %q and customer %q", route, customer)
 		}
@@ -144,14 +165,21 @@
 	}))
 }
 
-func (e *Editor) editRow(ctx context.Context, now time.Time, route, customer string, base uint64, change func(*kinds.RowObject) error) error {
+// editRow changes the object of a row. If that is not valid, it is replaced if replace is
+// set: a change of single columns would lose the others.
+func (e *Editor) editRow(ctx context.Context, now time.Time, route, customer string, base uint64, replace bool, change func(*kinds.RowObject) error) error {
 	build := func(current []byte, edit kinds.Edit) ([]byte, string, error) {
 		object := kinds.RowObject{Row: rows.Default(route, customer)}
 		if current != nil {
-			if err := kinds.Decode(current, &object); err != nil {
+			var stored kinds.RowObject
+			err := decodeRow(store.Object{Key: kinds.RowKey(route, customer), Value: current}, &stored)
+			switch {
+			case err == nil:
+				object = stored
+				object.Previous = prepend(object.Previous, object.Row)
+			case !replace:
 				return nil, "", trace.Wrap(err)
 			}
-			object.Previous = prepend(object.Previous, object.Row)
 		}
 		if err := change(&object); err != nil {
 			return nil, "", trace.Wrap(err)
@@ -170,24 +198,24 @@
 }
 
 // Keys returns all granted keys, withdrawn ones included, sorted by customer and
-// hash.
-func (e *Editor) Keys(ctx context.Context) ([]kinds.KeyObject, error) {
+// hash, and the keys of the objects that are not valid ones.
+func (e *Editor) Keys(ctx context.Context) (keys []kinds.KeyObject, unreadable []string, err error) {
 	listing, err := e.store.List(ctx, kinds.PrefixKeys)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
 	}
-	var keys []kinds.KeyObject
 	for _, object := range listing.Objects {
 		var key kinds.KeyObject
-		if err := kinds.Decode(object.Value, &key); err != nil {
-			return nil, trace.BadParameter("%s: %v", object.Key, err)
+		if err := kinds.Decode(object.Value, &key); err != nil || kinds.KeyObjectKey(key.Hash) != object.Key {
+			unreadable = append(unreadable, object.Key)
+			continue
 		}
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, func(a, b kinds.KeyObject) int {
 		return strings.Compare(a.Customer+"\x00"+a.Hash, b.Customer+"\x00"+b.Hash)
 	})
-	return keys, nil
+	return keys, unreadable, nil
 }
 
 // GrantKey creates an API key for a customer and returns it. Only its hash is
