Take claims that cannot be read as held until they expire

What callers would see (read in the code first; shown by the test, not on real processes): with one object among a shard's claims that does not decode, each request with an idempotency key of that shard is refused with ClaimUnreachable, for as long as the object is there, which is for good.

Cause: the holder of a new term loads all objects with claims, and the first that does not decode ended that with an error, each time. Expired objects are deleted after a load only. An At far in the future also kept the objects after it from being deleted.

Change: an object that does not decode is skipped, with one line in the log for each load that finds any. If its name is one that a holder writes, it may hold claims of any keys. Taking these as free could run a request twice, so that the shard grants no new key until the Lifetime of claims has passed since the load, as after an outage, and then deletes the object on its version. By the time in its name, an object older than twice the Lifetime holds nothing valid. An object with a name that no holder writes holds no claim, and is left to its writer. An At in the future counts as the time of the load.

--- a/internal/process/claims/shard.go
+++ b/internal/process/claims/shard.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	// fails.
 	rewriteInterval = 500 * time.Millisecond
 	storeTimeout    = 300 * time.Millisecond
+	// unreadableLifetime is the age from which an object that cannot be read holds no
+	// valid claim, by the time in its name. It allows for clocks that differ.
+	unreadableLifetime = 2 * Lifetime
 )
 
 // maxRewritten is the maximum number of claims that are written again in one object. In
@@ -62,6 +66,9 @@
 	table *Table // claims of the loaded term
 	term  uint64 // loaded term
 	saved []savedBatch
+	// unreadableUntil is when the claims of objects that could not be read have expired,
+	// zero for none. They may be of any key.
+	unreadableUntil time.Time
 	// unsaved are claims granted during an outage. They are written with the next
 	// batch.
 	unsaved []ID
@@ -109,16 +116,16 @@
 	if !ok || now.Before(lease.Start) {
 		return false, trace.NotFound("the shard is not held here")
 	}
-	table, err := s.load(ctx, now, lease.Term)
+	table, unreadableUntil, err := s.load(ctx, now, lease.Term)
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
 	if !table.Claim(now, id, attempt) {
 		return false, nil
 	}
-	if !lease.OutageAt.IsZero() && now.Sub(lease.OutageAt) < Lifetime {
+	if !lease.OutageAt.IsZero() && now.Sub(lease.OutageAt) < Lifetime || now.Before(unreadableUntil) {
 		// An earlier holder may have granted the key without writing the claim to
-		// the store.
+		// the store, or in an object that cannot be read.
 		return false, nil
 	}
 	if lease.ByPromises {
@@ -171,34 +178,74 @@
 	}
 }
 
-// load returns the claims of a term. When the term is new, it reads them from the
-// store, and their Lifetime starts again.
-func (s *ShardClaims) load(ctx context.Context, now time.Time, term uint64) (*Table, error) {
+// load returns the claims of a term, and until when keys may be claimed by objects that
+// cannot be read. When the term is new, it reads the claims from the store, and their
+// Lifetime starts again.
+func (s *ShardClaims) load(ctx context.Context, now time.Time, term uint64) (*Table, time.Time, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table != nil && s.term == term {
-		return s.table, nil
+		return s.table, s.unreadableUntil, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	listing, err := s.store.List(ctx, s.prefix)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, time.Time{}, trace.Wrap(err)
 	}
 	table := NewTable()
-	s.saved = nil
+	s.saved, s.unreadableUntil = nil, time.Time{}
+	unreadable := 0
 	for _, object := range listing.Objects {
+		if object.Value == nil {
+			continue // deleted
+		}
 		var b batchObject
 		if err := kinds.Decode(object.Value, &b); err != nil {
-			return nil, trace.BadParameter("%s: %v", object.Key, err)
+			unreadable++
+			writtenAt, ok := writeTime(strings.TrimPrefix(object.Key, s.prefix))
+			if !ok {
+				continue // no holder has written it, so it holds no claim
+			}
+			b = batchObject{At: now}
+			if now.Sub(writtenAt) < unreadableLifetime {
+				s.unreadableUntil = now.Add(Lifetime)
+			}
 		}
-		s.saved = append(s.saved, savedBatch{at: b.At, key: object.Key, version: object.Version})
+		s.saved = append(s.saved, savedBatch{at: earlier(b.At, now), key: object.Key, version: object.Version})
 		for _, id := range b.IDs {
 			table.Claim(now, id, 0)
 		}
 	}
+	if unreadable > 0 {
+		s.log.Warn().Str("Prefix", s.prefix).Int("Objects", unreadable).Time("RefusesUntil", s.unreadableUntil).Msg("objects with claims cannot be read")
+	}
 	s.table, s.term = table, term
-	return table, nil
+	return table, s.unreadableUntil, nil
+}
+
+// objectName returns the name of an object with claims, given when it is written.
+func objectName(now time.Time, first ID) string {
+	return fmt.Sprintf("%x-%x", now.UnixNano(), first[:4])
+}
+
+// writeTime returns when the object with the given name was written, or false if that is
+// not a name that objectName returns.
+func writeTime(name string) (time.Time, bool) {
+	digits, id, _ := strings.Cut(name, "-")
+	nanos, err := strconv.ParseInt(digits, 16, 64)
+	if _, idErr := strconv.ParseUint(id, 16, 32); err != nil || idErr != nil || len(id) != 8 {
+		return time.Time{}, false
+	}
+	return time.Unix(0, nanos), true
+}
+
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // save writes a claim to the store. It waits for batchDelay to write it together
@@ -248,7 +295,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	key := fmt.Sprintf("%s%x-%x", s.prefix, now.UnixNano(), b.ids[0][:4])
+	key := s.prefix + objectName(now, b.ids[0])
 	version, err := s.store.Put(ctx, key, value, 0)
 	if err != nil {
 		return trace.Wrap(err)
