Replace seeds that cannot be read

What nodes would see (shown by the test, not on real processes): seeds of an availability zone that do not decode stay in the store for good. Nodes of that zone can neither remove dead seeds nor add themselves; nodes that start join at other zones' seeds only, or at none.

Cause: refreshSeeds and addSeed gave up on seeds that do not decode.

Change: seeds that do not decode, or belong to another availability zone than their key, count as none, with a line in the log, and are replaced by the next write, which is conditional on their version. That loses nothing, since seeds are hints that each node checks by joining. Addresses without a port are not tried, and of each zone at most maxSeeds are, so that many odd ones do not keep a node from the others.

--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/process/member"
@@ -179,10 +180,7 @@
 // refreshSeeds removes seeds of the availability zone that are not alive, and adds
 // nodes up to maxSeeds. object holds the zone's seeds in the store, if there are any.
 func (n *Node) refreshSeeds(ctx context.Context, object store.Object) {
-	var seeds kinds.Seeds
-	if object.Value != nil && kinds.Decode(object.Value, &seeds) != nil {
-		return
-	}
+	seeds, unreadable := n.storedSeeds(object)
 	alive := n.aliveSeeds(seeds.Addresses)
 	for _, r := range n.table.View().Zone(n.settings.Load().Zone, maxSeeds) {
 		if len(alive) < maxSeeds && !slices.Contains(alive, r.Peers) {
@@ -190,7 +188,7 @@
 		}
 	}
 	slices.SortFunc(alive, netip.AddrPort.Compare)
-	if !slices.Equal(alive, seeds.Addresses) {
+	if unreadable || !slices.Equal(alive, seeds.Addresses) {
 		n.putSeeds(ctx, alive, object.Version)
 	}
 }
@@ -199,10 +197,7 @@
 // are not known to be alive. object holds the zone's seeds in the store, if there are
 // any. It reports whether the node is a seed now.
 func (n *Node) addSeed(ctx context.Context, object store.Object) bool {
-	var seeds kinds.Seeds
-	if object.Value != nil && kinds.Decode(object.Value, &seeds) != nil {
-		return false
-	}
+	seeds, _ := n.storedSeeds(object)
 	if slices.Contains(seeds.Addresses, n.settings.Load().Peers) {
 		return true
 	}
@@ -211,6 +206,31 @@
 	return n.putSeeds(ctx, next, object.Version)
 }
 
+// storedSeeds returns the seeds of the availability zone that an object of the store holds.
+// Seeds that cannot be read are replaced by the next write on the object's version, which
+// loses nothing: they are only hints.
+func (n *Node) storedSeeds(object store.Object) (seeds kinds.Seeds, unreadable bool) {
+	if object.Value == nil {
+		return kinds.Seeds{}, false
+	}
+	if err := decodeSeeds(object, &seeds); err != nil {
+		n.log.Warn().Err(err).Uint64("Version", object.Version).Msg("the seeds of the availability zone cannot be read and are replaced")
+		return kinds.Seeds{}, true
+	}
+	return seeds, false
+}
+
+// decodeSeeds decodes an object, which must have the key of its availability zone.
+func decodeSeeds(object store.Object, into *kinds.Seeds) error {
+	if err := kinds.Decode(object.Value, into); err != nil {
+		return trace.Wrap(err)
+	}
+	if kinds.SeedsKey(into.Zone) != object.Key {
+		return trace.BadParameter("%s: the seeds are of zone %q", object.Key, into.Zone)
+	}
+	return nil
+}
+
 // putSeeds replaces the seeds of the availability zone if they still have the given
 // version. It returns false if the write failed or if its outcome is unknown.
 func (n *Node) putSeeds(ctx context.Context, addresses []netip.AddrPort, version uint64) bool {
@@ -260,17 +280,18 @@
 	far     bool // not known to be in the node's availability zone
 }
 
-// knownSeeds returns the seeds in the listing and the addresses from the settings,
-// without the node's own.
+// knownSeeds returns the seeds in the listing, maxSeeds of each availability zone at most,
+// and the addresses from the settings, without the node's own.
 func (n *Node) knownSeeds(listing store.Listing) []seed {
 	settings := n.settings.Load()
 	var all []seed
 	for _, object := range listing.Objects {
 		var stored kinds.Seeds
-		if kinds.Decode(object.Value, &stored) != nil {
-			continue
+		if decodeSeeds(object, &stored) != nil {
+			continue // the nodes of its availability zone log and replace it
 		}
-		for _, address := range stored.Addresses {
+		usable := slices.DeleteFunc(stored.Addresses, func(a netip.AddrPort) bool { return !a.IsValid() || a.Port() == 0 })
+		for _, address := range usable[:min(len(usable), maxSeeds)] {
 			all = append(all, seed{address: address, far: stored.Zone != settings.Zone})
 		}
 	}
