Let nodes that know the secret replace one that cannot be read

What nodes would see (shown by the test, not on real processes): after the secret in the store was overwritten by something that does not decode, or is too short, each node that starts stays out, for good, and its log says that the store does not answer. Nodes that run go on.

Cause: only a node that reads a secret uses it, and only after a restore of the store did nodes check that theirs is still there.

Change: the node of each availability zone that maintains the seeds checks each fourth round, which is each 30 to 90 s, that the stored secret can be read, and otherwise stores the fleet's again, on the version of what it replaces. That costs each zone one stale read in that time. A node that does not know the secret replaces nothing, even at the first start of the fleet: other nodes may run with the secret that was overwritten, and would be cut off. It says once in its log what it waits for. If no node knows the secret any more, an operator has to delete the object; this is the safe side.

--- a/internal/process/node/secret.go
+++ b/internal/process/node/secret.go
@@ -4,11 +4,13 @@
 	"context"
 	cryptorand "crypto/rand"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
@@ -22,6 +24,9 @@
 	secretSpread = time.Second
 )
 
+// errSecretUnreadable means that the store has a secret that cannot be read.
+var errSecretUnreadable = errors.New("the secret in the platform's store cannot be read")
+
 // obtainSecret waits until the secret of the fleet is known. If it is not in the
 // settings, the node reads it from the platform's store, with exponential backoff
 // between the attempts; meanwhile another node may supply it.
@@ -31,9 +36,15 @@
 		createAt = createAt.Add(rand.N(secretSpread))
 	}
 	backoff := minBackoff
+	logged := false
 	for ctx.Err() == nil && !n.settings.Load().Secret.Known() {
 		found, err := n.readSecret(ctx, !time.Now().Before(createAt))
-		n.logStoreState(err)
+		if unreadable := errors.Is(err, errSecretUnreadable); !unreadable {
+			n.logStoreState(err)
+		} else if !logged {
+			logged = true
+			n.log.Error().Err(err).Msg("waiting for a node that knows the secret to store it again")
+		}
 		switch {
 		case found:
 			return
@@ -49,7 +60,9 @@
 // readSecret reads the secret from the platform's store and reports whether there was
 // one. A stale read suffices, because the secret never changes. If it finds none, the
 // secret may still exist, which the condition of the write that creates one settles;
-// readSecret does that only if create is set.
+// readSecret does that only if create is set. It never replaces a secret that cannot be
+// read, even if create is set: nodes may run with it, and would be cut off from those with
+// another one. Only a node that knows the secret does, in repairSecret.
 func (n *Node) readSecret(ctx context.Context, create bool) (found bool, err error) {
 	object, err := n.store.Get(ctx, kinds.SecretKey, store.WithStale())
 	if errors.Is(err, store.ErrNotFound) {
@@ -61,11 +74,20 @@
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
-	var secret kinds.Secret
-	if err := kinds.Decode(object.Value, &secret); err != nil {
-		return false, trace.Wrap(err)
+	text, err := decodeSecret(object.Value)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", errSecretUnreadable, err)
+	}
+	return true, trace.Wrap(n.settings.Load().Secret.Set(text))
+}
+
+// decodeSecret returns the text of a stored secret, which must be a valid one.
+func decodeSecret(value []byte) (string, error) {
+	var stored kinds.Secret
+	if err := kinds.Decode(value, &stored); err != nil {
+		return "", trace.Wrap(err)
 	}
-	return true, trace.Wrap(n.settings.Load().Secret.Set(secret.Text))
+	return stored.Text, trace.Wrap(new(fleet.Secret).Set(stored.Text))
 }
 
 // storeRestored writes again what the node holds by itself and the platform's store, which
@@ -93,6 +115,37 @@
 	}
 }
 
+// repairSecret stores the secret again if the one in the platform's store cannot be read.
+// The write is conditional on the version of what it replaces, and a secret that can be
+// read stays.
+func (n *Node) repairSecret(ctx context.Context) {
+	secret := n.settings.Load().Secret
+	if !n.secretStored || !secret.Known() {
+		return
+	}
+	object, err := n.store.Get(ctx, kinds.SecretKey, store.WithStale())
+	if errors.Is(err, store.ErrNotFound) {
+		return // the read is stale, or the store was restored, which restoreSecret handles
+	}
+	n.logStoreState(err)
+	if err != nil {
+		return
+	}
+	if _, err := decodeSecret(object.Value); err == nil {
+		return
+	}
+	value, err := kinds.Encode(&kinds.Secret{Text: secret.Text()})
+	if err != nil {
+		n.log.Error().Err(err).Msg("encoding the secret failed")
+		return
+	}
+	if _, err := n.store.Put(ctx, kinds.SecretKey, value, object.Version); err != nil {
+		n.log.Warn().Err(err).Msg("replacing a secret that cannot be read failed")
+		return
+	}
+	n.log.Warn().Msg("stored the fleet's secret again, as the one in the store could not be read")
+}
+
 // putLostSecret stores the secret unless the platform's store has it.
 func (n *Node) putLostSecret(ctx context.Context, text string) error {
 	object, err := n.store.Get(ctx, kinds.SecretKey)
--- a/internal/process/node/seeds.go
+++ b/internal/process/node/seeds.go
@@ -48,6 +48,10 @@
 // answer.
 const maxSeedJoinAttempts = 5
 
+// secretRounds is the number of rounds of maintainSeeds after which the secret in the store
+// is checked.
+const secretRounds = 4
+
 // maxSeeds is the maximum number of seeds of an availability zone. Seeds are nodes
 // whose addresses are kept in the platform's store, at which others join.
 const maxSeeds = 5
@@ -161,9 +165,10 @@
 // maintainSeeds runs about every seedInterval while this node is the first of its
 // availability zone or was asked to watch. It joins at seeds and configured addresses
 // whose nodes it does not know, so that groups of nodes that formed separately merge,
-// and replaces seeds of the zone that are not alive.
+// and replaces seeds of the zone that are not alive. Each secretRounds it checks that the
+// secret in the store can be read, which nodes that start later need.
 func (n *Node) maintainSeeds(ctx context.Context) {
-	for sleep(ctx, seedInterval/2+rand.N(seedInterval)) {
+	for round := 1; sleep(ctx, seedInterval/2+rand.N(seedInterval)); round++ {
 		if !n.agent.ShouldWatch(time.Now(), 1) {
 			continue
 		}
@@ -174,6 +179,9 @@
 		}
 		n.joinAny(ctx, n.unknownSeeds(n.knownSeeds(listing)), ignoreJoined)
 		n.refreshSeeds(ctx, n.zoneSeeds(listing))
+		if round%secretRounds == 0 {
+			n.repairSecret(ctx)
+		}
 	}
 }
 
