Log why an answer was cut behind its header

Nothing in the logs told why. The node now writes 'answer cut' with the error and whether the caller had left, within the limit of lines on failures.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -88,7 +88,7 @@
 	}
 	w.Header()[chain.HeaderRetriesLeft] = []string{strconv.Itoa(left)}
 	w.Header()[chain.HeaderLoad] = []string{formatLoad(r.load(time.Now(), c.Route))}
-	r.stream(w, req, pending, body)
+	r.stream(w, req, c, pending, body)
 }
 
 // refusePeer refuses a call of another node. The response gives back left retries.
--- a/internal/request/relay/requestlog.go
+++ b/internal/request/relay/requestlog.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -66,6 +68,15 @@
 		Int("Depth", c.chain.Depth).Stringer("Chain", c.chain.ID).Dur("Took", took).Msg("request answered")
 }
 
+// logCut logs that a response was cut behind its header, and why.
+func (r *Relay) logCut(now time.Time, req *http.Request, c *chain.Chain, err error) {
+	if !r.Log.failures.Allow(now) {
+		return
+	}
+	r.Log.log.Info().Str("Request", r.Dialect.RequestID(req.Header)).Stringer("Chain", c.ID).Str("Route", c.Route).
+		AnErr("Cause", context.Cause(req.Context())).Err(err).Msg("answer cut")
+}
+
 // logFailedAttempt logs that a node did not respond to a call, or refused it.
 func (s *session) logFailedAttempt(now time.Time, node netip.AddrPort, c *chain.Chain, refusal *refuse.Refusal) {
 	r := s.relay
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -84,7 +84,7 @@
 		return s.refuse(s.withEndReason(refusal))
 	}
 	status := pending.response.StatusCode
-	r.stream(w, req, pending, s.upload)
+	r.stream(w, req, &c.chain, pending, s.upload)
 	return nil, status
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wasabibend/wasabibend/internal/process/gates"
+	"github.com/wasabibend/wasabibend/internal/request/chain"
 	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
@@ -21,10 +22,10 @@
 	return &b
 }}
 
-// stream writes the response to req to w. If its body is cut, it aborts the connection with
+// stream writes the response to req, which is part of c, to w. If its body is cut, it aborts the connection with
 // http.ErrAbortHandler, so that the response does not look complete. The request may still
 // be read from the upload, which may be nil.
-func (r *Relay) stream(w http.ResponseWriter, req *http.Request, pending *pendingResponse, u *upload) {
+func (r *Relay) stream(w http.ResponseWriter, req *http.Request, c *chain.Chain, pending *pendingResponse, u *upload) {
 	response := pending.response
 	header := w.Header()
 	for name, values := range response.Header {
@@ -48,6 +49,7 @@
 	}()
 	if err := copyBody(w, response); err != nil {
 		r.Stats.Answers.Add("Cut", 1)
+		r.logCut(time.Now(), req, c, err)
 		if response.ContentLength < 0 && !req.ProtoAtLeast(1, 1) {
 			resetOnClose(req.Context())
 		}
--- a/internal/request/relay/unframed_test.go
+++ b/internal/request/relay/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
@@ -22,7 +24,7 @@
 
 // TestCutAnswersWithoutLength runs the cases of testdata/unframed.csv. It guards against a
 // cut answer that a caller with HTTP/1.0 takes for complete, as it has no length and ends
-// with its connection.
+// with its connection, and against one whose cause is not logged.
 func TestCutAnswersWithoutLength(t *testing.T) {
 	steps.Cases(t, "testdata/unframed.csv", func(t *testing.T, record []string) {
 		answer, err := strconv.Unquote(`"` + record[1] + `"`)
@@ -38,6 +40,8 @@
 			}
 		})
 		entry := newRelay(t, netip.MustParseAddrPort("127.0.0.1:1"), netip.AddrPort{}, member.Record{Health: member.Alive, Incarnation: 1, Peers: node, Readiness: member.Ready, Service: "ledger", Zone: "zone"})
+		var lines bytes.Buffer
+		entry.Log = NewRequestLog(zerolog.New(&lines))
 		l, err := conns.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 		assert.NilError(t, err)
 		tracker := conns.NewTracker(1000, time.Minute)
@@ -60,6 +64,7 @@
 		}
 		assert.NilError(t, conn.Close())
 		assert.NilError(t, tracker.Shutdown(t.Context(), server))
+		assert.Equal(t, strings.Contains(lines.String(), `"error":"unexpected EOF","message":"answer cut"`), record[2] != "", lines.String())
 		serving.Wait()
 	})
 }
