Let no read of a body outlast the response to its request

When a response or a refusal is ready while the body is still read from the caller, stop ends the read by a deadline in the past. A read that had checked whether the body was closed, but had not yet set its own deadline, replaced that one and went on until its idle timeout (30 s) or the next bytes. stop waited for it, and with it the end of the response: a caller that waits for the response before it sends more got it up to 30 s late, or not within its time limit.

Cause: the deadline was set on a state read before. Change: stop says that it has begun before it sets the deadline, and a read looks at that after it has set its own.

Failed before, one of the four cases of TestUploadStops, after 60 s: body_test.go:72: error is "read pipe: i/o timeout", not "the body is closed"

Run on arm64: internal/request/relay with -race, the test 100 times. GOARCH=amd64 go vet of the package passes.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -35,6 +35,7 @@
 
 	complete atomic.Bool // the body was read to its end
 	started  atomic.Bool // at least one read was made, so it cannot be sent again
+	stopping atomic.Bool // stop was called
 
 	mu     sync.Mutex
 	closed bool
@@ -84,6 +85,9 @@
 		return 0, io.EOF
 	}
 	_ = u.control.SetReadDeadline(time.Now().Add(u.idle))
+	if u.stopping.Load() {
+		return 0, errBodyClosed // the deadline may have replaced that of stop
+	}
 	n, err := u.body.Read(p)
 	u.remaining -= int64(n)
 	switch {
@@ -113,6 +117,7 @@
 // stop ends a pending read of the caller's body and fails later ones. If the body
 // was not read completely, the server reads on for discardTime at most.
 func (u *upload) stop() {
+	u.stopping.Store(true)
 	if !u.complete.Load() {
 		_ = u.control.SetReadDeadline(time.Unix(1, 0))
 	}
