Replace an allocator's record that cannot be read

What callers would see (shown by the test, not on real processes): after the record of an allocator was overwritten by something that does not decode, nodes that start do not know its holder, so that they refuse the customers of its shard. A record under another key than its own made all nodes ask a node that does not exist; one with the largest term could never be followed by a take-over.

Cause: the holder reads its record from the store only if its candidates change, and then went on without the store instead of replacing what it could not read.

TestOddObjects failed before in all 7 new cases: 6 with "true (string(object.Value) == odd bool) != false (record[7] == "kept" bool): value kept", and the record under an unknown key with "127.1.0.10:8001 believes that 127.9.9.9:1 holds the allocator".

Change: a record counts only under its own key, with a term of at most 2^60 and a holder with a port. Otherwise the last good one stays in force, as before, and the node that holds the allocator by it writes it again on the version of what it replaces, after all other candidates have promised that they have not taken over from its term. Nothing is created over a record that cannot be read: another holder may exist. If no node of the availability zone knows the record any more, an operator has to delete the object.

Run on arm64; GOARCH=amd64 go vet ./... passes.

--- a/internal/process/node/odd_test.go
+++ b/internal/process/node/odd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -57,16 +59,16 @@
 	time.Sleep(2 * time.Minute)
 	object, err := operator.Get(t.Context(), record[1])
 	assert.NilError(t, err)
-	if record[7] == "kept" {
-		assert.Check(t, string(object.Value) == odd, "the value is replaced")
+	assert.Equal(t, string(object.Value) == odd, record[7] == "kept", "value kept")
+	if record[1] == kinds.SecretKey && record[7] == "kept" {
 		assert.Check(t, !secret.Known())
 		return
 	}
-	assert.Check(t, string(object.Value) != odd, "the value is not replaced")
 	f.checkLateNode(t, secret)
 }
 
-// checkLateNode starts another node and checks that it gets the fleet's secret and joins.
+// checkLateNode starts another node and checks that it gets the fleet's secret and joins,
+// and that all nodes know which node of the fleet holds each allocator.
 func (f *callFleet) checkLateNode(t *testing.T, secret *fleet.Secret) {
 	var stored kinds.Secret
 	object, err := f.stores[0].Get(t.Context(), kinds.SecretKey)
@@ -80,6 +82,13 @@
 	time.Sleep(20 * time.Second)
 	assert.Equal(t, late.nodes[0].settings.Load().Secret.Text(), secret.Text())
 	assert.Equal(t, len(late.nodes[0].table.View().All()), 2*fleetZones)
+	for _, n := range append(late.nodes, f.nodes...) {
+		for zone := range fleetZones {
+			record, known := n.config.Snapshot().Allocator(fmt.Sprintf("zone%d", zone), 0)
+			assert.Check(t, known, "%v does not know the allocator of zone%d", n.table.Self().Peers, zone)
+			assert.Check(t, slices.Contains(f.addresses, record.Holder) || record.Holder == late.addresses[0], "%v believes that %v holds the allocator of zone%d", n.table.Self().Peers, record.Holder, zone)
+		}
+	}
 	late.cancels[0]()
 	f.net.Remove(late.addresses[0])
 }
--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -189,11 +189,11 @@
 // therefore asked only if the node has not begun its term yet, or if the
 // candidates have to change, do not all promise or answer too slowly for that. If the platform does not
 // answer, it suffices that all other candidates promise, even if the candidates
-// have to change.
+// have to change. So it does if the stored record cannot be read, which is then replaced.
 func (c *Client) confirm(ctx context.Context, shard int, lease *Lease) {
 	sent := time.Now()
 	term, peers := lease.OtherCandidates()
-	if term != 0 && c.sameCandidates(shard, peers) && c.allFast(peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
+	if term != 0 && !c.recordUnreadable(shard) && c.sameCandidates(shard, peers) && c.allFast(peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
 		lease.ConfirmByPromises(sent, term, false)
 		return
 	}
@@ -201,9 +201,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	object, err := c.Store.Get(callCtx, kinds.AllocatorKey(c.Zone, shard))
+	unreadable := false
 	var current kinds.Allocator
 	if err == nil {
-		err = kinds.Decode(object.Value, &current)
+		err = kinds.DecodeAllocator(object.Key, object.Value, &current)
+		unreadable = err != nil
 	}
 	if err == nil {
 		lease.Confirm(sent, time.Now(), &current, object.Version)
@@ -215,6 +217,30 @@
 	sent = time.Now()
 	if term, peers := lease.OtherCandidates(); term != 0 && c.allPromise(ctx, promise{Outage: true, Shard: shard, Term: term, Zone: c.Zone}, peers) {
 		lease.ConfirmByPromises(sent, term, true)
+		if unreadable {
+			c.replaceRecord(ctx, shard, lease, term, object.Version)
+		}
+	}
+}
+
+// recordUnreadable reports whether the last version of a shard's record cannot be read. The
+// record before it stays in force, but nodes that start do not know it.
+func (c *Client) recordUnreadable(shard int) bool {
+	object := c.Config.Object(kinds.AllocatorKey(c.Zone, shard))
+	var record kinds.Allocator
+	return object.Value != nil && kinds.DecodeAllocator(object.Key, object.Value, &record) != nil
+}
+
+// replaceRecord writes the record in force again in place of one that cannot be read and
+// has the given version. All other candidates have promised that they have not taken over
+// from the node's term.
+func (c *Client) replaceRecord(ctx context.Context, shard int, lease *Lease, term, version uint64) {
+	record, known := c.Config.Snapshot().Allocator(c.Zone, shard)
+	if !known || record.Holder != c.Self || record.Term != term {
+		return
+	}
+	if c.writeRecord(ctx, shard, lease, &record, version) {
+		c.Log.Warn().Int("Shard", shard).Uint64("Term", term).Msg("replaced a record of the allocator that could not be read")
 	}
 }
 
--- a/internal/version/kinds/kinds.go
+++ b/internal/version/kinds/kinds.go
@@ -130,9 +130,18 @@
 	Candidates []netip.AddrPort
 }
 
+// maxTerm leaves room for more changes of the holder than there can be.
+const maxTerm = 1 << 60
+
 // Check returns an error if the zone, the shard or the term is not valid, or if
 // the holder is not a candidate.
 func (o *Allocator) Check() error {
+	if o.Term > maxTerm {
+		return trace.BadParameter("Allocator: want a term of at most %d", uint64(maxTerm))
+	}
+	if !o.Holder.IsValid() || o.Holder.Port() == 0 {
+		return trace.BadParameter("Holder: want an IP address and port")
+	}
 	if o.Zone == "" || strings.Contains(o.Zone, "/") || o.Shard < 0 || o.Term == 0 {
 		return trace.BadParameter("Allocator: want a zone without a slash, a shard of at least 0 and a term of at least 1")
 	}
@@ -197,6 +206,18 @@
 	return value, trace.Wrap(err)
 }
 
+// DecodeAllocator decodes the object with the given key, which must be that of its
+// allocator.
+func DecodeAllocator(key string, value []byte, into *Allocator) error {
+	if err := Decode(value, into); err != nil {
+		return trace.Wrap(err)
+	}
+	if AllocatorKey(into.Zone, into.Shard) != key {
+		return trace.BadParameter("%s: the record is of shard %d in zone %q", key, into.Shard, into.Zone)
+	}
+	return nil
+}
+
 // AllocatorKey returns the store key of the Allocator of a shard in an
 // availability zone.
 func AllocatorKey(zone string, shard int) string {
--- a/internal/version/snaps/builder.go
+++ b/internal/version/snaps/builder.go
@@ -77,7 +77,7 @@
 
 func (b *builder) putAllocator(object, held store.Object) outcome {
 	var a kinds.Allocator
-	if kinds.Decode(object.Value, &a) != nil {
+	if kinds.DecodeAllocator(object.Key, object.Value, &a) != nil {
 		return invalid
 	}
 	if isSuperseded(&a, held) {
