Wait in scripts for the number of complete responses

TestScripts/outage failed once at a load of 57 to 85 on 8 cores: 'want at least 200 complete responses, got map[complete:135]'. So the number was a bound on the wall clock, which tests here must not have (CONTRIBUTING). unload now waits for the number before it ends the load, a minute at most; each other outcome fails the script as before, also those that come while it waits.

--- a/internal/cmdln/script_test.go
+++ b/internal/cmdln/script_test.go
@@ -361,8 +361,26 @@
 	}
 }
 
-// cmdUnload ends the load, and checks that at least MIN requests got a complete
-// response with status 200 and the others had one of the given outcomes:
+// loadPatience is how long unload waits for the number of complete responses, which a busy
+// machine reaches later.
+const loadPatience = time.Minute
+
+// awaitComplete waits until a number of requests got a complete response, or for
+// loadPatience.
+func (l *backgroundLoad) awaitComplete(count int) {
+	for end := time.Now().Add(loadPatience); time.Now().Before(end); time.Sleep(callerPause) {
+		l.mu.Lock()
+		complete := l.counts["complete"]
+		l.mu.Unlock()
+		if complete >= count {
+			return
+		}
+	}
+}
+
+// cmdUnload waits until at least MIN requests of the load got a complete
+// response with status 200, ends the load, and checks that the others had one of the
+// given outcomes:
 // unload MIN [OUTCOME...]
 // An outcome is the cause of a refusal, "connection refused", or "incomplete" if any
 // other error occurred before the end of the response.
@@ -370,6 +388,7 @@
 	s := stateOf(ts)
 	minComplete, err := strconv.Atoi(args[0])
 	ts.Check(err)
+	s.load.awaitComplete(minComplete)
 	counts := s.load.stop()
 	s.load = nil
 	ts.Logf("outcomes of the load: %v", counts)
