Watch the settings from before they are read

A node began to watch its settings file and to expect SIGHUP after it had read its settings and opened its parts. A SIGHUP before that ended the process, as is the default of signals. A change of the file in between was never put in force: the watch took the changed contents for those in force.

Change: SIGHUP is expected before the file is read, and the watch compares with the contents that were read. A SIGHUP within the milliseconds before the program has begun to run still ends the process.

--- a/internal/cmdln/nodecmd.go
+++ b/internal/cmdln/nodecmd.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
 	"runtime"
+	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
@@ -21,7 +24,15 @@
 	if err := parse(flags, args, 0, 0); err != nil {
 		return err
 	}
-	settings, err := setup.Load(*file)
+	// A SIGHUP ends a process that does not expect it.
+	sighups := make(chan os.Signal, 1)
+	signal.Notify(sighups, syscall.SIGHUP)
+	defer signal.Stop(sighups)
+	data, err := os.ReadFile(*file)
+	if err != nil {
+		return trace.BadParameter("%v", err)
+	}
+	settings, err := setup.Parse(*file, data)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -38,6 +49,6 @@
 	var watcher conc.WaitGroup
 	defer watcher.Wait()
 	defer cancel()
-	watcher.Go(func() { watchSettings(watchCtx, *file, log, n) })
+	watcher.Go(func() { watchSettings(watchCtx, *file, data, sighups, log, n) })
 	return trace.Wrap(n.Run(ctx))
 }
--- a/internal/cmdln/reload.go
+++ b/internal/cmdln/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,18 +24,11 @@
 }
 
 // watchSettings passes the new settings to the target whenever the contents of the
-// settings file have changed, until the context ends. It reads the file every
-// reloadInterval and on SIGHUP. If the file cannot be read, it logs the error.
-func watchSettings(ctx context.Context, file string, log zerolog.Logger, target settingsTarget) {
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
+// settings file have changed from the last ones, until the context ends. It reads the file
+// every reloadInterval and on each SIGHUP. If the file cannot be read, it logs the error.
+func watchSettings(ctx context.Context, file string, last []byte, sighups <-chan os.Signal, log zerolog.Logger, target settingsTarget) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	last, err := os.ReadFile(file)
-	if err != nil {
-		log.Warn().Err(err).Msg("cannot read the settings file")
-	}
 	for {
 		select {
 		case <-ctx.Done():
