Count a deregistration of an instance that awaits its health check

Found when reading the diff.

The new case of TestWrongReports, "another start that deregisters before the check answers", failed before with "Ready i-2 ... != Ready i-1: after 9s". The start that waits now counts as the one last announced by its instance.

--- a/internal/process/node/rival.go
+++ b/internal/process/node/rival.go
@@ -76,8 +76,8 @@
 }
 
 // challenge keeps an announcement that contests the current one until a health check tells
-// which of the instances is there. One that drains has acknowledged that it leaves, so its
-// later announcements do not count. The caller holds the lock.
+// which of the instances is there. If it says that the instance drains, its later
+// announcements do not count, as its leaving is acknowledged. The caller holds the lock.
 func (u *upstream) challenge(now time.Time, a admin.Announcement) reception {
 	last := u.rival.announcement
 	switch {
--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -235,20 +235,24 @@
 
 // deregister marks an instance that was born at the given time, or earlier, as
 // draining, and makes its later announcements outdated. A zero time means the start
-// in the current announcement.
+// that the instance last announced.
 func (u *upstream) deregister(now time.Time, instance string, born time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	current := u.current.Instance == instance
-	if born.IsZero() && current {
-		born = u.current.Born
+	var announced time.Time
+	switch {
+	case current:
+		announced = u.current.Born
+	case u.rival.announcement.Instance == instance:
+		announced = u.rival.announcement.Born
+	}
+	if born.IsZero() {
+		born = announced
 	}
 	// A start that is still to come cannot have deregistered: it is a wrong time, which must
 	// not hold against later starts under this ID.
-	if limit := now; born.After(limit) {
-		if current && u.current.Born.After(limit) {
-			limit = u.current.Born
-		}
+	if limit := later(now, announced); born.After(limit) {
 		born = limit
 	}
 	u.recordLeft(instance, born)
@@ -257,6 +261,14 @@
 	}
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordLeft makes announcements outdated that are from an instance that was born at the
 // given time, or earlier. The caller holds the lock.
 func (u *upstream) recordLeft(instance string, born time.Time) {
