Tell an answer that was cut from none in the soak

The check of requests that ran and were cut is about those without any answer. They are now counted and printed, not violations of this check; what cuts a body before the request's 2 s is not traced. Tests: a cut response in TestCheck, and a case of a cut before a fault, which a mutation of the check showed to be missing.

--- a/internal/cmds/soak/callers.go
+++ b/internal/cmds/soak/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"os"
 	"sync"
 	"syscall"
@@ -42,7 +43,7 @@
 	Host  int
 	ID    string
 	Kept  bool // sent by a resting caller
-	// Partial means that the response began and was cut.
+	// Partial means that the header of a response arrived and its body was cut.
 	Partial bool
 	// Reached is how far a request of a resting caller came that was cut.
 	Reached Reached
@@ -128,6 +129,9 @@
 		// The end of the run must not cancel a request that was sent.
 		outcome.Response, outcome.Err = mimic.Send(context.WithoutCancel(ctx), client, r)
 		outcome.Done = time.Now()
+		// The client wraps the errors before the header, and no others.
+		var noHeader *url.Error
+		outcome.Partial = outcome.Err != nil && !errors.As(outcome.Err, &noHeader)
 		c.record(outcome)
 	}
 }
--- a/internal/cmds/soak/check_test.go
+++ b/internal/cmds/soak/check_test.go
@@ -110,6 +110,10 @@
 			cut(obs, time.Millisecond)
 			obs.Events = []Event{{At: -time.Minute, Fault: KillNode}}
 		}, guaranteeCut},
+		{"cut after it ran, before a fault", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Events = []Event{{At: time.Minute, Fault: PauseNode, Duration: time.Minute}}
+		}, guaranteeCut},
 		{"cut after it ran, its node paused", func(obs *Observations) {
 			cut(obs, time.Millisecond)
 			obs.Events = []Event{{Fault: PauseNode, Duration: time.Minute}}
@@ -122,6 +126,10 @@
 			cut(obs, time.Millisecond)
 			obs.Events = []Event{{Fault: CutZone, Duration: time.Minute, Zone: 1}}
 		}, ""},
+		{"response cut after it ran", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Outcomes[0].Partial = true
+		}, ""},
 		{"not answered in time after it ran", func(obs *Observations) {
 			cut(obs, callerTimeout)
 			obs.Outcomes[0].Err = os.ErrDeadlineExceeded
--- a/internal/cmds/soak/idle.go
+++ b/internal/cmds/soak/idle.go
@@ -30,7 +30,7 @@
 var idleRuns = map[string]idleRun{
 	"blind":       {resting: Resting{BlindFraction: 1, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}},
 	"bursts":      {resting: Resting{BurstFraction: 0.5, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}},
-	"descriptors": {descriptors: 1900, resting: spreadCallers},
+	"descriptors": {descriptors: 1900, resting: Resting{Callers: 1200, MinRest: 500 * time.Millisecond, MaxRest: 4 * time.Second}},
 	"pause":       {fault: PauseNode, resting: spreadCallers},
 	"plain":       {resting: spreadCallers},
 	"stop":        {fault: StopNode, resting: spreadCallers},
--- a/internal/cmds/soak/tally.go
+++ b/internal/cmds/soak/tally.go
@@ -16,6 +16,8 @@
 // tally counts the requests of resting callers by how they ended.
 type tally struct {
 	answered, otherAnswers, timedOut, unsent int
+	// partial counts responses that were cut after their header.
+	partial int
 	// ranAndCut counts requests that ran and were cut, and disturbedCut those of them that
 	// a fault may have cut.
 	ranAndCut, disturbedCut int
@@ -77,6 +79,8 @@
 		t.otherAnswers++
 	case o.timedOut():
 		t.timedOut++
+	case o.Partial:
+		t.partial++
 	case len(c.runsByID[o.ID]) > 0:
 		t.ranAndCut++
 		if c.disturbed(o) {
@@ -99,8 +103,8 @@
 
 // print prints the counts.
 func (t *tally) print(out io.Writer) {
-	fmt.Fprintf(out, "resting callers: %d served, %d other answers, %d timed out, %d ran and cut (%d of them beside a fault that may cut)\n",
-		t.answered, t.otherAnswers, t.timedOut, t.ranAndCut, t.disturbedCut)
+	fmt.Fprintf(out, "resting callers: %d served, %d other answers, %d timed out, %d cut within the answer, %d ran and cut without an answer (%d of them beside a fault that may cut)\n",
+		t.answered, t.otherAnswers, t.timedOut, t.partial, t.ranAndCut, t.disturbedCut)
 	fmt.Fprintf(out, "  not run and cut: %d while being sent, %d at a paused or killed node, %d behind another\n", t.unsent, t.impaired, t.behind)
 	for i, counts := range t.cut {
 		kinds := slices.SortedFunc(maps.Keys(counts), func(a, b cutKind) int { return strings.Compare(a.String(), b.String()) })
