--- a/internal/cmds/soak/soak_test.go
+++ b/internal/cmds/soak/soak_test.go
@@ -28,9 +28,11 @@
 	for _, seed := range readSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
+			resting := mixedCallers
+			resting.Callers = 40
 			violations, err := Soak(context.Background(), seed, Options{
 				Dir: t.TempDir(), Events: 8, Hosts: 6, FaultPeriod: 6 * time.Second, Out: t.Output(),
-				ProgramPath: programPath,
+				ProgramPath: programPath, Resting: resting,
 			})
 			assert.NilError(t, err)
 			assert.Equal(t, len(violations), 0, "%v", violations)
