Test how connections end and which idle limits count

Not noticed were, among others: bytes that do not cancel the end of a connection (in Read and in setState), an end for an idle time before the last request, a deadline of the server that takes the place of the end, and connections that lingered and were never released.

TestServe, TestLateRead and TestIdleLimits run further scripts, which notice all of these.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -146,9 +146,9 @@
 const lingerTime = time.Second
 
 // linger closes a connection that an answer has closed once its caller has closed it too,
-// or after lingerTime. Until then it discards what the caller sends, as the kernel would
+// or after a timeout. Until then it discards what the caller sends, as the kernel would
 // reset the connection for it and drop what it has not sent yet of the answer.
-func (c *Conn) linger() {
+func (c *Conn) linger(timeout time.Duration) {
 	c.mu.Lock()
 	lingers := c.lingers
 	c.mu.Unlock()
@@ -156,7 +156,7 @@
 		return
 	}
 	// Errors mean that the caller has closed or reset the connection.
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(timeout))
 	_, _ = io.Copy(io.Discard, c.TCPConn)
 	_ = c.TCPConn.Close()
 }
--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -38,6 +38,7 @@
 type Tracker struct {
 	closed      *expvar.Map
 	descriptors int // file descriptors that the process may open
+	lingerTime  time.Duration
 	nearLimit   atomic.Bool
 
 	mu            sync.Mutex
@@ -63,6 +64,7 @@
 		descriptors:   descriptors,
 		idle:          make(map[*Conn]idleness),
 		idleTimeout:   idleTimeout,
+		lingerTime:    lingerTime,
 	}
 }
 
@@ -91,7 +93,7 @@
 	conn := accepted.(*Conn)
 	closedAs := conn.setState(now, state)
 	if state == http.StateClosed {
-		conn.linger()
+		conn.linger(t.lingerTime)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -177,10 +179,7 @@
 // http.Server.Shutdown would close these. It returns an error if the context ends first.
 func (t *Tracker) Shutdown(ctx context.Context, server *http.Server) error {
 	for t.Open() > 0 {
-		now := time.Now()
-		if !t.awaitsFirstRequest(now) {
-			t.endIdle(closedStop, func(idleness) bool { return true })
-		}
+		t.stopIdle(time.Now())
 		if err := pause.For(ctx, shutdownPoll); err != nil {
 			break
 		}
@@ -188,6 +187,13 @@
 	return trace.Wrap(server.Shutdown(ctx))
 }
 
+// stopIdle makes the idle connections end unless the first request is still expected on any.
+func (t *Tracker) stopIdle(now time.Time) {
+	if !t.awaitsFirstRequest(now) {
+		t.endIdle(closedStop, func(idleness) bool { return true })
+	}
+}
+
 // shutdownPoll is how often Shutdown looks for connections that have become idle.
 const shutdownPoll = 5 * time.Millisecond
 
--- a/internal/conn/conns/limits_test.go
+++ b/internal/conn/conns/limits_test.go
@@ -1,7 +1,9 @@
 package conns
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -24,7 +26,8 @@
 
 // limitSession runs steps on the connections of a Tracker: limit DURATION sets the idle
 // limit; open, active, idle and closed CONN set the state of a connection; close closes the
-// idle connections and prints those that end.
+// idle connections and stop does so as a stop does, and both print those that end; untracked
+// CONN prints whether Close closes a connection whose state is never set.
 type limitSession struct {
 	steps.ScriptState
 	conns   map[string]*Conn
@@ -40,7 +43,8 @@
 	case "active":
 		s.tracker.SetState(s.Now, s.conns[words[1]], http.StateActive)
 	case "close":
-		s.closeIdle()
+		s.tracker.CloseIdle(s.Now)
+		s.printEnded()
 	case "idle":
 		s.tracker.SetState(s.Now, s.conns[words[1]], http.StateIdle)
 	case "limit":
@@ -50,14 +54,32 @@
 	case "open":
 		s.conns[words[1]], _ = connPair(t)
 		s.tracker.SetState(s.Now, s.conns[words[1]], http.StateNew)
+	case "stop":
+		s.tracker.stopIdle(s.Now)
+		s.printEnded()
+	case "untracked":
+		s.closeUntracked(t)
 	default:
 		t.Fatalf("unknown step %q", words)
 	}
 }
 
-// closeIdle closes the idle connections and prints the names of those that end.
-func (s *limitSession) closeIdle() {
-	s.tracker.CloseIdle(s.Now)
+// closeUntracked closes a connection whose state is never set and of which bytes were read,
+// and prints whether it is closed.
+func (s *limitSession) closeUntracked(t *testing.T) {
+	t.Helper()
+	conn, caller := connPair(t)
+	_, err := caller.Write(make([]byte, 1))
+	assert.NilError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	_, err = conn.TCPConn.Read(make([]byte, 1))
+	fmt.Fprintf(&s.Out, ": %t", errors.Is(err, net.ErrClosed))
+}
+
+// printEnded prints the names of the connections that are asked to end.
+func (s *limitSession) printEnded() {
 	var ended []string
 	for name, conn := range s.conns {
 		if conn.endReason != "" {
--- a/internal/conn/conns/serve_test.go
+++ b/internal/conn/conns/serve_test.go
@@ -33,11 +33,19 @@
 //
 //	open CALLER              opens a connection
 //	send CALLER WHAT         sends one of serveBytes, or a GET request for a path
+//	hold                     lets connections that turn idle from now on not be read, as in
+//	                         a process that is paused
+//	release                  lets them be read again
+//	mark CALLER              notes since when a connection has been idle
+//	ask CALLER               asks its reader to end it if it has been idle since then, and
+//	                         prints whether it was asked
 //	await CALLER STATE       waits until the node's end is in a state: new, active, idle,
-//	                         read (bytes of a request were read), unread (bytes were not),
-//	                         closing, closed
+//	                         reading, read (bytes of a request were read), unread (bytes were not),
+//	                         waiting (for the rest of them), closed, released (its
+//	                         descriptor is)
 //	answer CALLER            lets the handler of a request answer it
 //	read CALLER              prints the next answer
+//	read-end CALLER          prints whether the server can read the connection
 //	end CALLER               prints how the connection ends
 //	leave CALLER             closes a connection
 //	limit DURATION           sets the idle limit
@@ -59,9 +67,11 @@
 
 	active  sync.WaitGroup // handlers
 	l       *Listener
-	stopped chan error // receives the result of Tracker.Shutdown
+	marks   map[string]time.Time // by the caller's name
+	stopped chan error           // receives the result of Tracker.Shutdown
 
 	mu     sync.Mutex
+	held   chan struct{}             // closed when idle connections may be read; nil while they may
 	answer map[string]chan struct{}  // receives when a request may be answered, by the caller's address
 	ends   map[string]*Conn          // the node's ends, by the caller's address
 	states map[string]http.ConnState // of the connections, by the caller's address
@@ -82,6 +92,10 @@
 	"rest":      closingRequest[1:],
 	"half":      closingRequest[:20],
 	"malformed": malformedRequest,
+	"remainder": closingRequest[20:],
+	"post":      closingRequest + "POST / HTTP/1.1\r\nHost: any.example\r\nContent-Length: 4\r\n\r\n",
+	"body":      "body",
+	"two":       closingRequest + closingRequest,
 	"bulky":     malformedRequest + strings.Repeat("b", 64<<10),
 }
 
@@ -95,10 +109,12 @@
 		callers:     make(map[string]*serveCaller),
 		ends:        make(map[string]*Conn),
 		l:           l,
+		marks:       make(map[string]time.Time),
 		states:      make(map[string]http.ConnState),
 		stopped:     make(chan error, 1),
 		tracker:     NewTracker(1000, testIdleTimeout),
 	}
+	s.tracker.lingerTime = time.Hour
 	s.clock.Store(s.Now.UnixNano())
 	s.server = &http.Server{ConnState: s.setState, Handler: http.HandlerFunc(s.serveHTTP), IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour}
 	s.serving.Go(func() { _ = s.server.Serve(l) })
@@ -125,6 +141,8 @@
 	switch words[0] {
 	case "answer":
 		s.channel(caller.address()) <- struct{}{}
+	case "ask":
+		fmt.Fprintf(&s.Out, ": %t", s.end(caller).end(closedIdle, s.marks[words[1]]))
 	case "await":
 		s.await(caller, words[2])
 	case "close":
@@ -138,16 +156,25 @@
 	case "end":
 		_, err := caller.reader.ReadByte()
 		s.print(err)
+	case "hold":
+		s.hold()
 	case "leave":
 		assert.NilError(t, caller.conn.Close())
 	case "limit":
 		limit, err := time.ParseDuration(words[1])
 		assert.NilError(t, err)
 		s.tracker.SetIdleTimeout(limit)
+	case "mark":
+		s.marks[words[1]] = s.idleSince(caller)
 	case "open":
 		s.open(t, words[1])
 	case "read":
 		s.read(caller)
+	case "read-end":
+		_, err := s.end(caller).Read(make([]byte, 1))
+		fmt.Fprintf(&s.Out, ": %t", !errors.Is(err, net.ErrClosed))
+	case "release":
+		s.release()
 	case "send":
 		s.send(t, caller, words[2])
 	case "server-close":
@@ -182,12 +209,17 @@
 	end.mu.Lock()
 	defer end.mu.Unlock()
 	switch state {
-	case "closing":
-		return end.closedAs != ""
+	case "released":
+		_, err := end.TCPConn.Read(nil)
+		return errors.Is(err, net.ErrClosed)
 	case "read":
 		return end.received
+	case "reading":
+		return end.reading
 	case "unread":
 		return end.unread()
+	case "waiting":
+		return end.received && end.reading
 	}
 	return current.String() == state
 }
@@ -218,9 +250,7 @@
 
 // due prints the read deadline of the node's end of a connection.
 func (s *serveSession) due(caller *serveCaller) {
-	s.mu.Lock()
-	end := s.ends[caller.address()]
-	s.mu.Unlock()
+	end := s.end(caller)
 	end.mu.Lock()
 	defer end.mu.Unlock()
 	switch left := time.Until(end.deadline); {
@@ -233,6 +263,28 @@
 	}
 }
 
+// end returns the node's end of a connection.
+func (s *serveSession) end(caller *serveCaller) *Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ends[caller.address()]
+}
+
+// hold makes connections that turn idle wait before they are read.
+func (s *serveSession) hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = make(chan struct{})
+}
+
+// idleSince returns since when a connection has been idle.
+func (s *serveSession) idleSince(caller *serveCaller) time.Time {
+	end := s.end(caller)
+	end.mu.Lock()
+	defer end.mu.Unlock()
+	return end.idleSince
+}
+
 // open opens a caller's connection.
 func (s *serveSession) open(t *testing.T, name string) {
 	t.Helper()
@@ -274,6 +326,14 @@
 	fmt.Fprintf(&s.Out, ": %d %s", response.StatusCode, body)
 }
 
+// release ends the wait of connections that turned idle.
+func (s *serveSession) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.held)
+	s.held = nil
+}
+
 // send sends bytes of a caller.
 func (s *serveSession) send(t *testing.T, caller *serveCaller, what string) {
 	t.Helper()
@@ -289,6 +349,10 @@
 func (s *serveSession) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Done()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	select {
 	case <-s.channel(r.RemoteAddr):
 	case <-r.Context().Done():
@@ -305,9 +369,13 @@
 	address := conn.RemoteAddr().String()
 	s.tracker.SetState(time.Unix(0, s.clock.Load()), conn, state)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.ends[address] = conn.(*Conn)
 	s.states[address] = state
+	held := s.held
+	s.mu.Unlock()
+	if state == http.StateIdle && held != nil {
+		<-held
+	}
 }
 
 // address returns the address by which the node knows a caller.
