Close no connection for the longest idle limit

With an idle limit of the largest number that a configuration can have (idle_timeout_ms is cut to what a duration holds), all idle connections were closed once a second: the second that is added to the limit overflowed. The second is now taken off the time for which the connection has been idle.

TestIdleLimits/longest failed before: the connection was closed at 5 s. arm64.

--- a/internal/conn/conns/conns.go
+++ b/internal/conn/conns/conns.go
@@ -166,11 +166,11 @@
 func (t *Tracker) CloseIdle(now time.Time) int {
 	full := t.full()
 	return t.endIdle(closedIdle, func(i idleness) bool {
-		timeout := max(i.timeout, t.idleTimeout) + idleSlack
 		if full {
-			timeout = time.Duration(float64(t.idleTimeout) * fullIdleFactor)
+			return now.Sub(i.since) >= time.Duration(float64(t.idleTimeout)*fullIdleFactor)
 		}
-		return now.Sub(i.since) >= timeout
+		// The longest timeout and idleSlack together would overflow.
+		return now.Sub(i.since)-idleSlack >= max(i.timeout, t.idleTimeout)
 	})
 }
 
