--- a/internal/request/relay/waits_test.go
+++ b/internal/request/relay/waits_test.go
@@ -114,6 +114,8 @@
 	entry   *Relay
 	nodes   []*Relay
 	servers map[string]*pipeListener // by address
+	// serveUpstream serves a connection to an upstream.
+	serveUpstream func(net.Conn)
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -123,7 +125,7 @@
 const upstreamOfPipes = "10.0.1.1:1"
 
 func newPipeNodes(t *testing.T, count int) *pipeNodes {
-	n := &pipeNodes{arrived: make([]int, count), servers: make(map[string]*pipeListener)}
+	n := &pipeNodes{arrived: make([]int, count), servers: make(map[string]*pipeListener), serveUpstream: serveOK}
 	var members []member.Record
 	for i := range count {
 		self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(2 + i)}), 1)
@@ -155,7 +157,7 @@
 	n.conns = append(n.conns, client)
 	n.mu.Unlock()
 	if address == upstreamOfPipes {
-		go serveOK(server)
+		go n.serveUpstream(server)
 		return client, nil
 	}
 	n.servers[address].accept <- server
