Close the connections on which a stopping node refuses calls

The answers of a node that stops tell the sender that their connection closes; its refusals of calls did not. Such a connection was kept and used again, up to the moment at which the node closes all that are open. A call that was sent then has an unknown outcome: one that may run once failed for the caller (502) although it had not run.

Change: refusals say so too.

Run on arm64: internal/request/relay with -race. GOARCH=amd64 go vet of the package passes.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -93,6 +93,9 @@
 
 // refusePeer refuses a call of another node. The response gives back left retries.
 func (r *Relay) refusePeer(w http.ResponseWriter, c *chain.Chain, left int, refusal *refuse.Refusal) {
+	if r.keepAlivesDisabled.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	w.Header()[chain.HeaderRetriesLeft] = []string{strconv.Itoa(left)}
 	w.Header()[chain.HeaderLoad] = []string{formatLoad(r.load(time.Now(), c.Route))}
 	r.Stats.Refusals.Add("Gate"+string(refusal.Cause), 1)
--- a/internal/request/relay/waits_test.go
+++ b/internal/request/relay/waits_test.go
@@ -117,15 +117,16 @@
 	// serveUpstream serves a connection to an upstream.
 	serveUpstream func(net.Conn)
 
-	mu    sync.Mutex
-	conns []net.Conn
+	mu     sync.Mutex
+	conns  []net.Conn
+	dialed map[string]int // connections, by address
 }
 
 // upstreamOfPipes is the address of all upstreams.
 const upstreamOfPipes = "10.0.1.1:1"
 
 func newPipeNodes(t *testing.T, count int) *pipeNodes {
-	n := &pipeNodes{arrived: make([]int, count), servers: make(map[string]*pipeListener), serveUpstream: serveOK}
+	n := &pipeNodes{arrived: make([]int, count), dialed: make(map[string]int), servers: make(map[string]*pipeListener), serveUpstream: serveOK}
 	var members []member.Record
 	for i := range count {
 		self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(2 + i)}), 1)
@@ -155,6 +156,7 @@
 	client, server := net.Pipe()
 	n.mu.Lock()
 	n.conns = append(n.conns, client)
+	n.dialed[address]++
 	n.mu.Unlock()
 	if address == upstreamOfPipes {
 		go n.serveUpstream(server)
