Hold no request past its time limit for the rest of its body

A body of at most 16 KiB is read whole before the request is sent on, and each read lasted up to Idle (30 s), whatever the time limit of the request and of its route. A caller that stopped in its body was held until then and got 400, after which a request is not sent again. Bodies that are streamed ended with the call already.

Change: reads of a body last until the deadline of the call at most, and a request whose body has not come by then is refused as one that has not run (DeadlineExceeded).

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -27,6 +27,7 @@
 type upload struct {
 	cancel    context.CancelCauseFunc
 	control   *http.ResponseController
+	deadline  time.Time // of the call
 	idle      time.Duration
 	body      io.ReadCloser
 	remaining int64 // bytes
@@ -42,15 +43,16 @@
 }
 
 // newUpload returns an upload of the body of r, the request to which w responds.
-// If maxBytes is 0, the size is not limited. Reads call cancel with the error when
-// the body is cut or too large.
-func newUpload(w http.ResponseWriter, r *http.Request, idle time.Duration, maxBytes int64, cancel context.CancelCauseFunc) *upload {
+// If maxBytes is 0, the size is not limited. Reads last until the deadline at most, and
+// call cancel with the error when the body is cut or too large.
+func newUpload(w http.ResponseWriter, r *http.Request, deadline time.Time, idle time.Duration, maxBytes int64, cancel context.CancelCauseFunc) *upload {
 	if maxBytes == 0 {
 		maxBytes = math.MaxInt64
 	}
 	return &upload{
 		cancel:    cancel,
 		control:   http.NewResponseController(w),
+		deadline:  deadline,
 		idle:      idle,
 		body:      r.Body,
 		remaining: maxBytes,
@@ -72,8 +74,7 @@
 	_ = u.control.EnableFullDuplex()
 }
 
-// Read implements io.Reader. It limits the idle time of each read and the total
-// size, and cancels the call when the caller's body is cut or too large.
+// Read implements io.Reader. It limits the time of each read and the total size, and cancels the call when the caller's body is cut or too large.
 func (u *upload) Read(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -84,7 +85,11 @@
 	case u.complete.Load():
 		return 0, io.EOF
 	}
-	_ = u.control.SetReadDeadline(time.Now().Add(u.idle))
+	end := time.Now().Add(u.idle)
+	if u.deadline.Before(end) {
+		end = u.deadline
+	}
+	_ = u.control.SetReadDeadline(end)
 	if u.stopping.Load() {
 		return 0, errBodyClosed // the deadline may have replaced that of stop
 	}
--- a/internal/request/relay/body_test.go
+++ b/internal/request/relay/body_test.go
@@ -31,7 +31,7 @@
 	defer conn.Close()
 	w := &hookedRecorder{deadlineRecorder: deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), conn: conn}, set: make(chan struct{}, 8)}
 	body := &hookedBody{Conn: conn, reading: make(chan struct{}, 8)}
-	u := newUpload(w, httptest.NewRequest("PUT", "/ledger/x", body), time.Minute, 0, func(error) {})
+	u := newUpload(w, httptest.NewRequest("PUT", "/ledger/x", body), time.Now().Add(time.Hour), time.Minute, 0, func(error) {})
 	stopped := make(chan struct{})
 	stop := func() {
 		defer close(stopped)
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -71,7 +71,7 @@
 		r.refusePeer(w, c, c.Retries, refusal)
 		return
 	}
-	request, body := r.upstreamRequest(w, req, lc.cancel)
+	request, body := lc.upstreamRequest(w, req)
 	if body != nil {
 		defer body.stop()
 	}
@@ -118,25 +118,6 @@
 	return load
 }
 
-// upstreamRequest returns the request to send to the upstream, and its body, which
-// is nil if it has none.
-func (r *Relay) upstreamRequest(w http.ResponseWriter, req *http.Request, cancel context.CancelCauseFunc) (*http.Request, *upload) {
-	request := &http.Request{
-		ContentLength: req.ContentLength,
-		Header:        r.forwardRequestHeader(req.Header),
-		Host:          req.Host,
-		Method:        req.Method,
-		URL:           &url.URL{ForceQuery: req.URL.ForceQuery, Opaque: strings.TrimPrefix(rawPath(req), PathCall), RawQuery: req.URL.RawQuery},
-	}
-	if req.ContentLength == 0 {
-		return request, nil
-	}
-	body := newUpload(w, req, r.Idle, 0, cancel)
-	request.Trailer = body.trailer
-	request.Body = body
-	return request, body
-}
-
 // localCall is a call to the local upstream that the gate has admitted.
 type localCall struct {
 	address  netip.AddrPort
@@ -205,6 +186,25 @@
 	return lc, nil
 }
 
+// upstreamRequest returns the request to send to the upstream, and its body, which
+// is nil if it has none.
+func (lc *localCall) upstreamRequest(w http.ResponseWriter, req *http.Request) (*http.Request, *upload) {
+	request := &http.Request{
+		ContentLength: req.ContentLength,
+		Header:        lc.relay.forwardRequestHeader(req.Header),
+		Host:          req.Host,
+		Method:        req.Method,
+		URL:           &url.URL{ForceQuery: req.URL.ForceQuery, Opaque: strings.TrimPrefix(rawPath(req), PathCall), RawQuery: req.URL.RawQuery},
+	}
+	if req.ContentLength == 0 {
+		return request, nil
+	}
+	body := newUpload(w, req, lc.deadline, lc.relay.Idle, 0, lc.cancel)
+	request.Trailer = body.trailer
+	request.Body = body
+	return request, body
+}
+
 // durationName returns the name under which the durations of a call are kept.
 func durationName(c *chain.Chain) string {
 	if c.Route != "" {
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -116,12 +117,15 @@
 	if length == 0 {
 		return nil
 	}
-	u := newUpload(s.writer, s.request, s.relay.Idle, s.maxBody, cancel)
+	u := newUpload(s.writer, s.request, s.deadline, s.relay.Idle, s.maxBody, cancel)
 	if length < 0 || length > maxReplayBytes {
 		s.upload = u
 		return nil
 	}
 	smallBody, err := readSmallBody(u, length)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(s.deadline) {
+		return refuse.New(refuse.DeadlineExceeded, 0, "the deadline passed before the whole body came")
+	}
 	if err != nil {
 		return refuse.New(refuse.BadRequest, 0, "the body is cut")
 	}
