--- a/internal/request/relay/caller_test.go
+++ b/internal/request/relay/caller_test.go
@@ -47,3 +47,24 @@
 	assert.NilError(t, conn.Close())
 	assert.Check(t, callerClosed(ctx))
 }
+
+// TestHalfClosedCaller checks that a caller that has closed its sending direction counts as
+// gone although it could still read: the close looks the same as that of a caller that has
+// left, and work for those must end.
+func TestHalfClosedCaller(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	defer conn.Close()
+	ctx := CallerContext(t.Context(), conn)
+	assert.Check(t, !callerClosed(ctx))
+	assert.NilError(t, caller.(*net.TCPConn).CloseWrite())
+	for !callerClosed(ctx) {
+		runtime.Gosched() // wait for the close to arrive
+	}
+}
