Add idle runs that pause later or keep the idle timeout

Three variants of the idle run: wake pauses the node after the idle timeout was lowered and not before it, and steady and steadystop keep the idle timeout, so that what a planned stop does alone can be told from what a lower timeout does beside it. The summary no longer prints a recovery time that an idle run does not measure.

--- a/internal/cmds/soak/check_test.go
+++ b/internal/cmds/soak/check_test.go
@@ -213,6 +213,21 @@
 	}
 }
 
+// TestIdleEvents checks that the events of each idle run are sorted, and that each fault
+// is within the run.
+func TestIdleEvents(t *testing.T) {
+	for name, run := range idleRuns {
+		events := run.events()
+		assert.Check(t, slices.IsSortedFunc(events, func(a, b Event) int { return int(a.At - b.At) }), name)
+		want := idleChanges
+		if run.fault != "" {
+			want *= 2
+		}
+		assert.Equal(t, len(events), want, name)
+		assert.Check(t, events[0].At > 0, name)
+	}
+}
+
 // TestOutcomeCut checks that an unexpected end of the connection counts as cut, and a
 // request with a response does not.
 func TestOutcomeCut(t *testing.T) {
--- a/internal/cmds/soak/idle.go
+++ b/internal/cmds/soak/idle.go
@@ -10,14 +10,18 @@
 )
 
 // idleRun is a run at one host of callers that rest, while the idle timeout changes in
-// series. Its hosts have one service.
+// series or, for comparison, does not. Its hosts have one service.
 type idleRun struct {
 	// descriptors is the number of file descriptors that a node may open, 0 for the
 	// limit of this process.
 	descriptors int
 	// fault is injected beside each time of a low idle timeout, empty for none.
-	fault   Fault
+	fault Fault
+	// offset is when the fault is injected, from the start of the low idle timeout.
+	offset  time.Duration
 	resting Resting
+	// steady means that the idle timeout does not change.
+	steady bool
 }
 
 // idleHosts is the number of hosts in an idle run: one in each availability zone.
@@ -31,18 +35,19 @@
 	"blind":       {resting: Resting{BlindFraction: 1, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}},
 	"bursts":      {resting: Resting{BurstFraction: 0.5, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}},
 	"descriptors": {descriptors: 1900, resting: Resting{Callers: 1200, MinRest: 500 * time.Millisecond, MaxRest: 4 * time.Second}},
-	"pause":       {fault: PauseNode, resting: spreadCallers},
+	"pause":       {fault: PauseNode, offset: -1500 * time.Millisecond, resting: spreadCallers},
 	"plain":       {resting: spreadCallers},
-	"stop":        {fault: StopNode, resting: spreadCallers},
+	"steady":      {resting: spreadCallers, steady: true},
+	"steadystop":  {fault: StopNode, offset: -1500 * time.Millisecond, resting: spreadCallers, steady: true},
+	"stop":        {fault: StopNode, offset: -1500 * time.Millisecond, resting: spreadCallers},
+	"wake":        {fault: PauseNode, offset: 1500 * time.Millisecond, resting: spreadCallers},
 }
 
 // Times of an idle run.
 const (
 	idleChangeInterval = 5 * time.Second // between two changes of the idle timeout
 	idleChanges        = 3               // times of a low idle timeout
-	// idleFaultLead is how long before a low idle timeout the fault is injected.
-	idleFaultLead = 1500 * time.Millisecond
-	idlePause     = 3 * time.Second
+	idlePause          = 3 * time.Second
 )
 
 // events returns the events of the run at its first host, which is the one with callers.
@@ -50,11 +55,16 @@
 	var all []Event
 	for i := range idleChanges {
 		at := time.Duration(1+2*i) * idleChangeInterval
+		low := Event{At: at, Duration: idleChangeInterval, Fault: LowerIdle, IdleTimeout: lowIdleTimeout}
+		if r.steady {
+			low.IdleTimeout = idleTimeout
+		}
+		all = append(all, low)
 		if r.fault != "" {
-			all = append(all, Event{At: at - idleFaultLead, Duration: idlePause, Fault: r.fault})
+			all = append(all, Event{At: at + r.offset, Duration: idlePause, Fault: r.fault})
 		}
-		all = append(all, Event{At: at, Duration: idleChangeInterval, Fault: LowerIdle, IdleTimeout: lowIdleTimeout})
 	}
+	sortEvents(all)
 	return all
 }
 
--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -110,8 +110,12 @@
 		}
 	}
 	newTally(observations).print(options.Out)
-	fmt.Fprintf(options.Out, "seed %d: %d events, %d of %d requests served, recovered after %v, %d violations\n",
-		seed, len(observations.Events), served, len(observations.Outcomes), observations.RecoveryTime.Round(time.Millisecond), len(violations))
+	recovery := ""
+	if options.Idle == "" {
+		recovery = fmt.Sprintf("recovered after %v, ", observations.RecoveryTime.Round(time.Millisecond))
+	}
+	fmt.Fprintf(options.Out, "seed %d: %d events, %d of %d requests served, %s%d violations\n",
+		seed, len(observations.Events), served, len(observations.Outcomes), recovery, len(violations))
 	for i, v := range violations {
 		if i == maxPrintedViolations {
 			fmt.Fprintf(options.Out, "  and %d more\n", len(violations)-i)
--- a/internal/cmds/soak/plan.go
+++ b/internal/cmds/soak/plan.go
@@ -112,6 +112,11 @@
 			all = append(all, e)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b Event) int { return int(a.At - b.At) })
+	sortEvents(all)
 	return all
 }
+
+// sortEvents sorts events by time.
+func sortEvents(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
+}
