--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -58,7 +58,7 @@
 // passed, as it may have passed while the process was paused.
 func (c *Conn) Read(p []byte) (int, error) {
 	if !c.beginRead() {
-		return 0, net.ErrClosed
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
 	}
 	n, err := c.TCPConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -74,7 +74,8 @@
 	_ = u.control.EnableFullDuplex()
 }
 
-// Read implements io.Reader. It limits the time of each read and the total size, and cancels the call when the caller's body is cut or too large.
+// Read implements io.Reader. It limits the time of each read and the total size, and
+// cancels the call when the caller's body is cut or too large.
 func (u *upload) Read(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
