Replace a link on which frames wait for one that cannot be written

Found when reading again, which caused it: since a call that waits for the frame of another one does not close the link any more, calls with short limits failed on a link whose write hangs until the time limit of the call that writes.

Change: a call that ends while it waits for its turn counts like one that gets no answer.

--- a/internal/conn/links/cancelled_test.go
+++ b/internal/conn/links/cancelled_test.go
@@ -105,6 +105,33 @@
 	})
 }
 
+// TestBlockedWriteOfAnother guards against calls that all wait for a frame that cannot be
+// written and has a longer time limit than they have: from the end of the first of them on,
+// calls must use a new link.
+func TestBlockedWriteOfAnother(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := newPipeNetwork(t)
+		defer n.close()
+		call := func(limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(n.ctx, limit)
+			defer cancel()
+			var answer echo
+			return n.caller.Call(ctx, n.to, wire.KindPing, echo{Text: "x"}, &answer)
+		}
+		assert.NilError(t, call(time.Second))
+		time.Sleep(2 * minLinkAge)
+		n.blockWrites()
+		blocked := make(chan error, 1)
+		go func() { blocked <- call(time.Minute) }()
+		synctest.Wait()
+		assert.Check(t, call(2*minSilence) != nil)
+		assert.NilError(t, call(2*minSilence))
+		assert.Equal(t, len(n.conns), 2, "links opened")
+		assert.Check(t, <-blocked != nil)
+	})
+}
+
 // blockWrites makes writes on the connections that are open wait until they are closed.
 func (n *pipeNetwork) blockWrites() {
 	for _, c := range n.conns {
--- a/internal/conn/links/link.go
+++ b/internal/conn/links/link.go
@@ -196,16 +196,22 @@
 // send writes a frame. If the write fails, or does not end within the time limit of the
 // context, or dialTimeout if it has none, it closes the link, as a part of the frame may have
 // been written. It writes nothing if the context has ended, and a cancellation does not
-// interrupt the write: other calls wait for answers on the link.
+// interrupt the write: other calls wait for answers on the link. If the frame has waited
+// long for others and nothing was read meanwhile, it retires the link.
 func (l *link) send(ctx context.Context, frame wire.Frame) error {
 	data, err := wire.Encode(frame)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	began := time.Now()
 	select {
 	case l.writing <- struct{}{}:
 		defer func() { <-l.writing }()
 	case <-ctx.Done():
+		if now := time.Now(); now.Sub(began) >= l.silenceLimit(minSilence) {
+			l.retireIfSilent(now, began)
+		}
+		return trace.Wrap(ctx.Err())
 	case <-l.ctx.Done():
 		return trace.ConnectionProblem(nil, "the link to %v is closed", l.peer)
 	}
