--- a/internal/cmds/soak/idle.go
+++ b/internal/cmds/soak/idle.go
@@ -28,13 +28,13 @@
 const idleHosts = 3
 
 // spreadCallers rest for times on both sides of the low idle timeout.
-var spreadCallers = Resting{Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}
+var spreadCallers = Resting{Callers: 1200, EagerFraction: 1, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}
 
 // idleRuns are the variants of the idle run.
 var idleRuns = map[string]idleRun{
-	"blind":       {resting: Resting{BlindFraction: 1, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}},
-	"bursts":      {resting: Resting{BurstFraction: 0.5, Callers: 1200, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}},
-	"descriptors": {descriptors: 1900, resting: Resting{Callers: 1200, MinRest: 500 * time.Millisecond, MaxRest: 4 * time.Second}},
+	"blind":       {resting: Resting{BlindFraction: 1, Callers: 1200, EagerFraction: 1, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second}},
+	"bursts":      {resting: Resting{BurstFraction: 0.5, Callers: 1200, EagerFraction: 1, MinRest: 1800 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}},
+	"descriptors": {descriptors: 1900, resting: Resting{Callers: 1200, EagerFraction: 1, MinRest: 500 * time.Millisecond, MaxRest: 4 * time.Second}},
 	"pause":       {fault: PauseNode, offset: -1500 * time.Millisecond, resting: spreadCallers},
 	"plain":       {resting: spreadCallers},
 	"steady":      {resting: spreadCallers, steady: true},
--- a/internal/cmds/soak/resting.go
+++ b/internal/cmds/soak/resting.go
@@ -29,6 +29,10 @@
 	BurstFraction float64
 	// Callers is the number of callers at each host.
 	Callers int
+	// EagerFraction is the fraction of callers that connect again as soon as their
+	// connection has ended, and not only when they send. A planned stop waits for the first
+	// requests on their connections, up to the end of the drain time.
+	EagerFraction float64
 	// MinRest and MaxRest limit the rests, which are distributed uniformly.
 	MinRest, MaxRest time.Duration
 	// PipelinedFraction is the fraction of times at which a caller sends a second request
@@ -37,7 +41,7 @@
 }
 
 // mixedCallers rest for times up to and past the idle timeouts of LowerIdle.
-var mixedCallers = Resting{BlindFraction: 0.2, BurstFraction: 0.3, Callers: 150, MinRest: 400 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}
+var mixedCallers = Resting{BlindFraction: 0.2, BurstFraction: 0.3, Callers: 150, EagerFraction: 0.2, MinRest: 400 * time.Millisecond, MaxRest: 5 * time.Second, PipelinedFraction: 0.1}
 
 // Times of resting callers.
 const (
@@ -78,6 +82,7 @@
 			random: rand.New(rand.NewPCG(seed, uint64(host*options.Callers+i))), start: start,
 		}
 		k.blind = k.random.Float64() < options.BlindFraction
+		k.eager = k.random.Float64() < options.EagerFraction
 		k.bursts = k.random.Float64() < options.BurstFraction
 		c.workers.Go(func() { k.run(ctx) })
 	}
@@ -86,11 +91,11 @@
 // restingCaller is one caller of a Resting.
 type restingCaller struct {
 	Resting
-	blind, bursts bool
-	callers       *callers
-	host          int
-	random        *rand.Rand
-	start         time.Time
+	blind, bursts, eager bool
+	callers              *callers
+	host                 int
+	random               *rand.Rand
+	start                time.Time
 }
 
 // run sends requests until the context ends. It connects again when its connection has
@@ -98,6 +103,9 @@
 func (k *restingCaller) run(ctx context.Context) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	for pause.For(ctx, time.Duration(k.random.Int64N(int64(maxDialPause)))) == nil {
+		if !k.eager && pause.For(ctx, time.Until(k.restEnd(time.Now()))) != nil {
+			return
+		}
 		conn, err := dialer.DialContext(ctx, "tcp", k.callers.hosts[k.host].Callers().String())
 		if err != nil {
 			continue // the node is away
@@ -110,7 +118,7 @@
 
 // use sends requests on a connection until it has ended or the context ends.
 func (k *restingCaller) use(ctx context.Context, conn *keptConn) {
-	for conn.rest(ctx, k.restEnd(time.Now()), k.blind) {
+	for rested := !k.eager; rested || conn.rest(ctx, k.restEnd(time.Now()), k.blind); rested = false {
 		requests := []*mimic.Request{k.randomRequest()}
 		if k.random.Float64() < k.PipelinedFraction {
 			requests = append(requests, k.randomRequest())
