Take over the idle limit of the catalog in force each second

Since open connections keep the idle limit that their callers know, the limit was taken over only when the catalog changed.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -283,15 +283,23 @@
 // catalogChanged takes over from the catalog what cold upstreams take, and the idle timeout
 // of callers' connections.
 func (n *Node) catalogChanged(now time.Time) {
-	if limit := n.catalog.Snapshot().Limits().IdleTimeout; limit > 0 {
-		n.conns.SetIdleTimeout(limit)
-	} else {
-		n.conns.SetIdleTimeout(idleTimeout)
-	}
+	n.updateIdleTimeout()
 	n.upstream.refreshCold(now)
 	n.logCold(now)
 }
 
+// updateIdleTimeout takes over the idle timeout of the catalog in force, or idleTimeout if it
+// has none. Of two calls at once, one may do so with that of an earlier catalog.
+func (n *Node) updateIdleTimeout() {
+	limit := idleTimeout
+	if n.catalog != nil {
+		if configured := n.catalog.Snapshot().Limits().IdleTimeout; configured > 0 {
+			limit = configured
+		}
+	}
+	n.conns.SetIdleTimeout(limit)
+}
+
 // coldStart returns how the upstreams of a service are after a start, by the catalog in
 // force.
 func (n *Node) coldStart(service string) gates.ColdStart {
@@ -441,6 +449,7 @@
 // reapConns closes idle connections of callers until the context ends.
 func (n *Node) reapConns(ctx context.Context) {
 	for sleep(ctx, reapInterval) {
+		n.updateIdleTimeout()
 		n.conns.CloseIdle(time.Now())
 	}
 }
--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -61,6 +61,7 @@
 			listener: listener,
 		}
 		if l.drains {
+			s.http.IdleTimeout = 0 // reapConns closes idle connections
 			s.http.ConnState = func(conn net.Conn, state http.ConnState) { n.conns.SetState(time.Now(), conn, state) }
 		}
 		servers = append(servers, s)
