--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -81,9 +81,9 @@
 	return n.checksUpstream() && n.healthPath() != ""
 }
 
-// checkUpstream sends health checks to the upstream until one has told which start is
-// there and its current start has passed one, says that it takes no requests, or is gone. A start of a service without health
-// checks passes at once.
+// checkUpstream sends health checks to the upstream until one has told which start is there
+// and its current start has passed one, says that it takes no requests, or is gone. A start
+// of a service without health checks passes at once.
 func (n *Node) checkUpstream(ctx context.Context) {
 	if n.healthPath() == "" {
 		n.recordHealthy(n.upstream.announcement())
--- a/internal/process/quota/cache.go
+++ b/internal/process/quota/cache.go
@@ -218,8 +218,8 @@
 
 // PlanPrefetch adds the tokens to hold to an Ask. It returns false, and leaves
 // the Ask unchanged, if no more tokens are needed or another Ask for tokens to
-// hold is in flight or the node has a loan. Otherwise the caller must call ApplyGrant. The answer is expected to
-// take the time roundTrip.
+// hold is in flight or the node has a loan. Otherwise the caller must call ApplyGrant. The
+// answer is expected to take the time roundTrip.
 func (c *Cache) PlanPrefetch(now time.Time, ask *Ask, roundTrip time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -22,9 +22,9 @@
 	return &b
 }}
 
-// stream writes the response to req, which is part of c, to w. If its body is cut, it aborts the connection with
-// http.ErrAbortHandler, so that the response does not look complete. The request may still
-// be read from the upload, which may be nil.
+// stream writes the response to req, which is part of c, to w. If its body is cut, it aborts
+// the connection with http.ErrAbortHandler, so that the response does not look complete. The
+// request may still be read from the upload, which may be nil.
 func (r *Relay) stream(w http.ResponseWriter, req *http.Request, c *chain.Chain, pending *pendingResponse, u *upload) {
 	response := pending.response
 	header := w.Header()
