--- a/internal/process/quota/lease.go
+++ b/internal/process/quota/lease.go
@@ -64,7 +64,6 @@
 	defer l.mu.Unlock()
 	l.record = *record
 	l.version = version
-	created := l.proposal != nil && l.proposal.expected == 0
 	if l.proposal != nil && l.proposal.expected != version {
 		l.proposal = nil
 	}
@@ -73,7 +72,7 @@
 		return
 	}
 	if l.allocator == nil || l.allocator.Term() != record.Term {
-		l.allocator = l.startTerm(received, record.Term, created)
+		l.allocator = l.startTerm(received, record.Term)
 	}
 	if sent.After(l.confirmed) {
 		l.confirmed = sent
@@ -258,9 +257,8 @@
 
 // startTerm returns the allocator of a term that begins. If the holder of the
 // previous term handed over its state, it has stopped granting tokens, so the
-// allocator starts at once. The parameter created tells whether this process tried to
-// create the record: otherwise an earlier process of the node held the first term.
-func (l *Lease) startTerm(received time.Time, term uint64, created bool) *Allocator {
+// allocator starts at once.
+func (l *Lease) startTerm(received time.Time, term uint64) *Allocator {
 	l.outageAt = time.Time{}
 	if state := l.handover; state != nil && state.Term+1 == term {
 		if state.OutageAge > 0 {
@@ -268,20 +266,21 @@
 		}
 		return NewAllocatorFromHandover(received, term, state)
 	}
-	if term == 1 && created {
-		return NewAllocator(term, received)
+	a := NewAllocator(term, l.startTime(received, term))
+	if term > 1 {
+		l.outageAt = l.outagePromised
+		l.reserve(a)
 	}
-	l.outageAt = l.outagePromised
-	a := NewAllocator(term, l.startTime(received))
-	a.firstTerm = false
-	l.reserve(a)
 	return a
 }
 
 // startTime returns the time from which the node grants tokens in a term that
 // begins without a handover: LeaseDuration after the record was received, or
-// when the node's promise ends if that is later.
-func (l *Lease) startTime(received time.Time) time.Time {
+// when the node's promise ends if that is later. The first term starts at once.
+func (l *Lease) startTime(received time.Time, term uint64) time.Time {
+	if term == 1 {
+		return received
+	}
 	if start := received.Add(LeaseDuration); start.After(l.promisedUntil) {
 		return start
 	}
