--- a/internal/process/quota/unreliable_test.go
+++ b/internal/process/quota/unreliable_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -21,9 +20,8 @@
 	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 )
 
-// unreliableSeeds is the number of runs of a case, each with its own seed. Fifty are run by
-// hand.
-var unreliableSeeds = flag.Uint64("unreliable-seeds", 5, "the `number` of seeds of each case of TestUnreliableLinks")
+// unreliableSeeds is the number of runs of a case, each with its own seed.
+const unreliableSeeds = 50
 
 // TestUnreliableLinks runs the cases of testdata/unreliable.csv in virtual time. Questions
 // and answers are slow, delayed by random times and thereby reordered, lost and delivered
@@ -33,7 +31,7 @@
 	steps.Cases(t, "testdata/unreliable.csv", func(t *testing.T, record []string) {
 		t.Parallel()
 		admitted, lent := 0, 0
-		for seed := range *unreliableSeeds {
+		for seed := range uint64(unreliableSeeds) {
 			synctest.Test(t, func(t *testing.T) {
 				n, loans := runUnreliable(t, record, seed)
 				admitted += n
