Revert "Let nodes borrow a part of the rate over slow links"

A holder that starts and takes over within 5.6 s holds back the whole rate and burst for two seconds, as an earlier holder may have lent them, also where links are fast and nothing was lent: a mass kill or a loss of power is followed by refusals.

It can come back once a holder that starts knows whether anything was lent.

--- a/internal/process/quota/lease.go
+++ b/internal/process/quota/lease.go
@@ -36,8 +36,7 @@
 	takeoverAfter     time.Time  // the node does not try to take over before this time
 	proposal          *proposal
 	record            kinds.Allocator
-	releasedTerm      uint64 // last term that the node gave up
-	loans             loanLease
+	releasedTerm      uint64    // last term that the node gave up
 	missedAnswers     int       // questions in a row without a positive answer of the holder
 	handover          *Handover // state from the holder of an earlier term
 	version           uint64    // of the record
@@ -53,7 +52,7 @@
 // process of the node made a promise in an outage just before, as promises are
 // not stored.
 func NewLease(now time.Time, self netip.AddrPort) *Lease {
-	return &Lease{self: self, loans: newLoanLease(now), promisedUntil: now.Add(LeaseDuration), outagePromised: now, takeoverAfter: now.Add(LeaseDuration)}
+	return &Lease{self: self, promisedUntil: now.Add(LeaseDuration), outagePromised: now, takeoverAfter: now.Add(LeaseDuration)}
 }
 
 // Confirm applies a record that the node read from the platform's store or
@@ -78,7 +77,6 @@
 		l.confirmed = sent
 		l.confirmedInOutage = false
 	}
-	l.updateLending(received)
 }
 
 // Observe applies a record that may be out of date. It can only end the node's
@@ -102,9 +100,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.proposal = &proposal{candidates: candidates, expected: expected}
-	if l.allocator != nil {
-		l.allocator.lendUntil(time.Time{})
-	}
 }
 
 // OtherCandidates returns the term that the node holds, and all other nodes
@@ -117,18 +112,13 @@
 	if l.allocator == nil {
 		return 0, nil
 	}
-	return l.allocator.Term(), l.otherCandidates()
-}
-
-// otherCandidates returns the nodes of OtherCandidates. The caller holds the lock.
-func (l *Lease) otherCandidates() []netip.AddrPort {
 	peers := slices.Clone(l.record.Candidates)
 	if l.proposal != nil {
 		peers = append(peers, l.proposal.candidates...)
 	}
 	slices.SortFunc(peers, netip.AddrPort.Compare)
 	peers = slices.Compact(peers)
-	return slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return p == l.self })
+	return l.allocator.Term(), slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return p == l.self })
 }
 
 // ConfirmByPromises records that all other candidates of a term promised not to
@@ -266,12 +256,10 @@
 		}
 		return NewAllocatorFromHandover(received, term, state)
 	}
-	a := NewAllocator(term, l.startTime(received, term))
 	if term > 1 {
 		l.outageAt = l.outagePromised
-		l.reserve(a)
 	}
-	return a
+	return NewAllocator(term, l.startTime(received, term))
 }
 
 // startTime returns the time from which the node grants tokens in a term that
--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -77,12 +77,11 @@
 
 // HandOver hands the allocators that the node holds over to other nodes. While
 // the platform does not answer, the node continues to grant tokens, because no
-// other node could take over. It does so too until its loans have ended, as a
-// handover does not tell of them. HandOver returns early if the context ends while
+// other node could take over. HandOver returns early if the context ends while
 // it waits for the platform.
 func (c *Client) HandOver(ctx context.Context) {
 	for shard, lease := range c.leases {
-		for lease.Holds() && (c.hasLoans(lease) || !c.platformAnswers(ctx, shard)) {
+		for lease.Holds() && !c.platformAnswers(ctx, shard) {
 			if pause.For(ctx, outagePollInterval) != nil {
 				return
 			}
@@ -108,15 +107,8 @@
 	}
 }
 
-// hasLoans reports whether nodes may use loans of a lease's allocator or of an earlier
-// holder, and makes the allocator lend no more.
-func (c *Client) hasLoans(lease *Lease) bool {
-	now := time.Now()
-	return now.Before(lease.StopLoans(now))
-}
-
 // outagePollInterval is how often a leaving node checks whether the platform
-// answers again and its loans have ended.
+// answers again.
 const outagePollInterval = 300 * time.Millisecond
 
 // platformAnswers reports whether the platform returns a shard's record within
@@ -278,11 +270,10 @@
 }
 
 // updateCandidates writes a record with the wanted candidates to the platform,
-// if they have changed and no loans are in use: a new candidate does not know of
-// these.
+// if they have changed.
 func (c *Client) updateCandidates(ctx context.Context, shard int, lease *Lease, record *kinds.Allocator, version uint64) {
 	next := c.wantedCandidates(shard)
-	if slices.Equal(next, record.Candidates) || c.hasLoans(lease) {
+	if slices.Equal(next, record.Candidates) {
 		return
 	}
 	changed := *record
@@ -299,11 +290,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, max(leaseInterval, min(slowFactor*c.Mesh.RoundTrip(record.Holder), maxPatience)))
 	defer cancel()
 	var answer promised
-	question := promise{Loans: lease.HeardStamp(record.Term), Shard: record.Shard, Term: record.Term, Zone: record.Zone}
-	err := c.Mesh.Call(callCtx, record.Holder, wire.KindHolding, question, &answer)
-	if err == nil {
-		lease.HearLoans(time.Now(), record.Term, answer.Loans)
-	}
+	err := c.Mesh.Call(callCtx, record.Holder, wire.KindHolding, promise{Shard: record.Shard, Term: record.Term, Zone: record.Zone}, &answer)
 	missed := lease.CountMissedAnswers(err == nil && answer.OK)
 	if missed >= maxMissedAnswers*c.takeoverPosition(record) && lease.MayTakeOver(now, record) {
 		c.takeOver(ctx, lease, record)
@@ -359,9 +346,6 @@
 // promise asks a candidate to promise the holder of a term not to grant tokens,
 // or asks the holder whether it still holds the allocator.
 type promise struct {
-	// Loans is the last loan stamp that the holder answered, in a question whether it
-	// still holds the allocator. Nodes of earlier versions neither send nor read it.
-	Loans uint64 `cbor:",omitempty"`
 	// Outage says that the holder continues although the platform does not
 	// answer.
 	Outage bool `cbor:",omitempty"`
@@ -380,9 +364,7 @@
 
 // promised is the answer to a promise or a Handover.
 type promised struct {
-	// Loans is a loan stamp, see Lease.LoanStamp.
-	Loans uint64 `cbor:",omitempty"`
-	OK    bool
+	OK bool
 }
 
 // Check implements wire.Checker.
@@ -412,17 +394,13 @@
 
 // handleHolding answers whether this node holds the allocator in the given term
 // or a later one.
-func (c *Client) handleHolding(from netip.AddrPort, body []byte) (any, error) {
+func (c *Client) handleHolding(_ netip.AddrPort, body []byte) (any, error) {
 	var p promise
 	if err := wire.Decode(body, &p); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if p.Zone != c.Zone || p.Shard >= len(c.leases) {
-		return promised{}, nil
-	}
-	now, lease := time.Now(), c.leases[p.Shard]
-	lease.AckLoans(now, from, p.Term, p.Loans)
-	return promised{Loans: lease.LoanStamp(now, p.Term), OK: lease.Term() >= p.Term}, nil
+	holds := p.Zone == c.Zone && p.Shard < len(c.leases) && c.leases[p.Shard].Term() >= p.Term
+	return promised{OK: holds}, nil
 }
 
 // handlePromise answers a holder's request for a promise.
