Count attempts that read a body late or not from its start

The logs could not tell the hypotheses apart: nothing showed which attempt took which bytes of a caller's body. Each attempt to send a request now reads the body through a handle of its own, with its own trailer, and the counters Bodies tell of reads by an attempt after the next one began (Late) and of attempts whose first read is not at the start of the body (Shifted). Both count only under the first hypothesis; a body with other bytes beside counters of 0 speaks for the HTTP server or for a connection with two writers. 'attempt failed' tells how much of the body was taken.

No decision changes.

--- a/internal/process/stats/stats.go
+++ b/internal/process/stats/stats.go
@@ -25,6 +25,7 @@
 type Stats struct {
 	Admitted  *expvar.Map // admitted requests of callers, by customer
 	Answers   *expvar.Map // responses, by class of their status code
+	Bodies    *expvar.Map // attempts that read a body late or not from its start
 	Calls     *expvar.Map // calls to the upstream beside the node, by service
 	Refusals  *expvar.Map // by cause, with the prefix Gate for refusals to other nodes
 	Refused   *expvar.Map // refused requests, by customer
@@ -38,6 +39,7 @@
 	return &Stats{
 		Admitted:  new(expvar.Map).Init(),
 		Answers:   new(expvar.Map).Init(),
+		Bodies:    new(expvar.Map).Init(),
 		Calls:     new(expvar.Map).Init(),
 		Refusals:  new(expvar.Map).Init(),
 		Refused:   new(expvar.Map).Init(),
@@ -59,6 +61,7 @@
 	all := new(expvar.Map).Init()
 	all.Set("Admitted", s.Admitted)
 	all.Set("Answers", s.Answers)
+	all.Set("Bodies", s.Bodies)
 	all.Set("Calls", s.Calls)
 	all.Set("LatencyUSByCustomer", s.customers)
 	all.Set("LatencyUSByRoute", s.routes)
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"math"
 	"net/http"
@@ -30,13 +31,14 @@
 	deadline  time.Time // of the call
 	idle      time.Duration
 	body      io.ReadCloser
-	remaining int64 // bytes
+	remaining int64        // bytes
+	offset    atomic.Int64 // bytes read so far
 	request   *http.Request
-	trailer   http.Header
 
-	complete atomic.Bool // the body was read to its end
-	started  atomic.Bool // at least one read was made, so it cannot be sent again
-	stopping atomic.Bool // stop was called
+	complete atomic.Bool                 // the body was read to its end
+	started  atomic.Bool                 // at least one read was made, so it cannot be sent again
+	stopping atomic.Bool                 // stop was called
+	attempt  atomic.Pointer[attemptBody] // the latest
 
 	mu     sync.Mutex
 	closed bool
@@ -57,7 +59,6 @@
 		body:      r.Body,
 		remaining: maxBytes,
 		request:   r,
-		trailer:   forwardedTrailer(r.Trailer),
 	}
 }
 
@@ -95,6 +96,7 @@
 		return 0, errBodyClosed // the deadline may have replaced that of stop
 	}
 	n, err := u.body.Read(p)
+	u.offset.Add(int64(n))
 	u.remaining -= int64(n)
 	switch {
 	case u.remaining < 0:
@@ -104,18 +106,12 @@
 	case errors.Is(err, io.EOF):
 		u.complete.Store(true)
 		_ = u.control.SetReadDeadline(time.Time{})
-		copyTrailer(u.trailer, u.request.Trailer)
 	case err != nil:
 		u.cancel(err)
 	}
 	return n, err
 }
 
-// Close implements io.Closer. It does nothing, as the server closes the body.
-func (u *upload) Close() error {
-	return nil
-}
-
 // discardTime is how long the HTTP server may discard the rest of a body after the
 // response. A caller that still sends when its connection is closed may lose the response.
 const discardTime = time.Second
@@ -135,6 +131,47 @@
 	}
 }
 
+// attemptBody is the body of a request as one attempt to send it reads it.
+type attemptBody struct {
+	counts  *expvar.Map // of stats.Stats
+	ended   bool        // whether its end has been read
+	started bool        // whether it has been read
+	trailer http.Header // set at the end of the body
+	upload  *upload
+}
+
+// newAttempt returns the body for the next attempt to send the request. It counts in counts
+// what it notices of other attempts.
+func (u *upload) newAttempt(counts *expvar.Map) *attemptBody {
+	a := &attemptBody{counts: counts, trailer: forwardedTrailer(u.request.Trailer), upload: u}
+	u.attempt.Store(a)
+	return a
+}
+
+// Read implements io.Reader.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	if a.upload.attempt.Load() != a {
+		a.counts.Add("Late", 1)
+	}
+	if !a.started {
+		a.started = true
+		if a.upload.offset.Load() > 0 {
+			a.counts.Add("Shifted", 1)
+		}
+	}
+	n, err := a.upload.Read(p)
+	if errors.Is(err, io.EOF) && !a.ended {
+		a.ended = true
+		copyTrailer(a.trailer, a.upload.request.Trailer)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. It does nothing, as the server closes the body.
+func (a *attemptBody) Close() error {
+	return nil
+}
+
 // readSmallBody reads a body of a known length completely. It returns an error if
 // the body is shorter or longer.
 func readSmallBody(u *upload, length int64) ([]byte, error) {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -199,10 +199,11 @@
 	if req.ContentLength == 0 {
 		return request, nil
 	}
-	body := newUpload(w, req, lc.deadline, lc.relay.Idle, 0, lc.cancel)
+	u := newUpload(w, req, lc.deadline, lc.relay.Idle, 0, lc.cancel)
+	body := u.newAttempt(lc.relay.Stats.Bodies)
 	request.Trailer = body.trailer
 	request.Body = body
-	return request, body
+	return request, u
 }
 
 // durationName returns the name under which the durations of a call are kept.
--- a/internal/request/relay/requestlog.go
+++ b/internal/request/relay/requestlog.go
@@ -83,9 +83,13 @@
 	if !r.Log.failures.Allow(now) {
 		return
 	}
-	r.Log.log.Info().Str("Request", s.id).Stringer("Chain", c.ID).Str("Route", c.Route).Str("Service", c.Service).Stringer("Node", node).
+	event := r.Log.log.Info().Str("Request", s.id).Stringer("Chain", c.ID).Str("Route", c.Route).Str("Service", c.Service).Stringer("Node", node).
 		Str("Cause", string(refusal.Cause)).Str("Ran", string(refusal.Ran)).Str("Detail", refusal.Detail).
-		Dur("Left", s.deadline.Sub(now)).Msg("attempt failed")
+		Dur("Left", s.deadline.Sub(now))
+	if s.upload != nil {
+		event = event.Int64("BodyRead", s.upload.offset.Load())
+	}
+	event.Msg("attempt failed")
 }
 
 // logMaxRate logs that the local upstream has begun or ceased to name the number of
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -461,9 +461,10 @@
 		request.Body = body
 	}
 	if s.upload != nil {
-		request.Body = s.upload
+		body := s.upload.newAttempt(s.relay.Stats.Bodies)
+		request.Body = body
 		request.ContentLength = s.request.ContentLength
-		request.Trailer = s.upload.trailer
+		request.Trailer = body.trailer
 		if pathPrefix != "" {
 			header["Expect"] = []string{"100-continue"}
 		}
