Let only one attempt read the body of a request

What callers saw: an upstream ran a request with another body than the one they sent. With a length it was cut short; without one (chunked) the upstream got 69,632 of 102,400 bytes as a whole body, and the caller got 200.

Cause: an attempt to send a request ended when its refusal had been read, but the goroutine that sends its body ran on. Whether the next attempt may send the body was decided by a look whether a byte had been taken; the goroutine of the first attempt could take the first 4 KiB after that look, and the next attempt sent the rest as the body. Check, then act on what has changed since.

Change: each attempt has its own handle on the body (attemptBody), with its own trailer. The attempt ends before the next one is decided on: from then on its reads fail, and whether it has begun to read cannot change any more. The handle also compares its offset with that of the body, so that a request with a gap is cut and never looks whole.

Ruled out as ways: waiting for the goroutine (it may wait for the caller for as long as Idle), and keeping the first bytes to send them again (memory for each upload, and one that has been sent in part need not have been refused).

--- a/internal/process/stats/stats.go
+++ b/internal/process/stats/stats.go
@@ -25,7 +25,7 @@
 type Stats struct {
 	Admitted  *expvar.Map // admitted requests of callers, by customer
 	Answers   *expvar.Map // responses, by class of their status code
-	Bodies    *expvar.Map // attempts that read a body late or not from its start
+	Bodies    *expvar.Map // refused reads of bodies, by reason
 	Calls     *expvar.Map // calls to the upstream beside the node, by service
 	Refusals  *expvar.Map // by cause, with the prefix Gate for refusals to other nodes
 	Refused   *expvar.Map // refused requests, by customer
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -23,8 +23,15 @@
 // errBodyTooLarge means that a body exceeds the limit of its route.
 var errBodyTooLarge = errors.New("the body is too large")
 
-// upload is a request body that is streamed from the caller. Its lock is held
-// during each read.
+// errAttemptEnded is returned for reads by an attempt after its end.
+var errAttemptEnded = errors.New("the attempt to send the request has ended")
+
+// errBodyShifted means that bytes of a body went elsewhere than to the attempt that sends it.
+var errBodyShifted = errors.New("a part of the body is missing")
+
+// upload is a request body that is streamed from the caller. At most one attempt to send the
+// request reads it: one that has begun to read has taken bytes that no other can get. mu is
+// held during each read.
 type upload struct {
 	cancel    context.CancelCauseFunc
 	control   *http.ResponseController
@@ -35,10 +42,12 @@
 	offset    atomic.Int64 // bytes read so far
 	request   *http.Request
 
-	complete atomic.Bool                 // the body was read to its end
-	started  atomic.Bool                 // at least one read was made, so it cannot be sent again
-	stopping atomic.Bool                 // stop was called
-	attempt  atomic.Pointer[attemptBody] // the latest
+	complete atomic.Bool // the body was read to its end
+	stopping atomic.Bool // stop was called
+
+	turns  sync.Mutex   // of reader and taken; not held during a read
+	reader *attemptBody // that may read, nil for none
+	taken  bool         // an attempt has begun to read, so that no other may
 
 	mu     sync.Mutex
 	closed bool
@@ -80,7 +89,6 @@
 func (u *upload) Read(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.started.Store(true)
 	switch {
 	case u.closed:
 		return 0, errBodyClosed
@@ -131,35 +139,65 @@
 	}
 }
 
-// attemptBody is the body of a request as one attempt to send it reads it.
+// attemptBody is the body of a request as one attempt to send it reads it. The goroutine that
+// sends the body may run on after the attempt.
 type attemptBody struct {
 	counts  *expvar.Map // of stats.Stats
 	ended   bool        // whether its end has been read
-	started bool        // whether it has been read
+	offset  int64       // bytes read so far
 	trailer http.Header // set at the end of the body
 	upload  *upload
 }
 
-// newAttempt returns the body for the next attempt to send the request. It counts in counts
-// what it notices of other attempts.
+// newAttempt returns the body for the next attempt to send the request. Earlier attempts must
+// have ended. It counts in counts reads that are refused.
 func (u *upload) newAttempt(counts *expvar.Map) *attemptBody {
 	a := &attemptBody{counts: counts, trailer: forwardedTrailer(u.request.Trailer), upload: u}
-	u.attempt.Store(a)
+	u.turns.Lock()
+	defer u.turns.Unlock()
+	if !u.taken {
+		u.reader = a
+	}
 	return a
 }
 
+// endAttempt ends the current attempt, if there is one. Its later reads fail.
+func (u *upload) endAttempt() {
+	u.turns.Lock()
+	defer u.turns.Unlock()
+	u.reader = nil
+}
+
+// isTaken reports whether an attempt has begun to read the body, so that no other can send it.
+func (u *upload) isTaken() bool {
+	u.turns.Lock()
+	defer u.turns.Unlock()
+	return u.taken
+}
+
+// take reports whether an attempt may read, and reserves the body for it.
+func (u *upload) take(a *attemptBody) bool {
+	u.turns.Lock()
+	defer u.turns.Unlock()
+	if u.reader != a {
+		return false
+	}
+	u.taken = true
+	return true
+}
+
 // Read implements io.Reader.
 func (a *attemptBody) Read(p []byte) (int, error) {
-	if a.upload.attempt.Load() != a {
+	if !a.upload.take(a) {
 		a.counts.Add("Late", 1)
+		return 0, errAttemptEnded
 	}
-	if !a.started {
-		a.started = true
-		if a.upload.offset.Load() > 0 {
-			a.counts.Add("Shifted", 1)
-		}
+	if a.upload.offset.Load() != a.offset {
+		a.counts.Add("Shifted", 1)
+		return 0, errBodyShifted
 	}
 	n, err := a.upload.Read(p)
+	a.offset += int64(n)
 	if errors.Is(err, io.EOF) && !a.ended {
 		a.ended = true
 		copyTrailer(a.trailer, a.upload.request.Trailer)
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -257,7 +257,7 @@
 // that may have run must be idempotent and within the retry limits, and is sent again
 // only once, because it may be what crashes upstreams.
 func (s *session) mayTryNextNode(refusal *refuse.Refusal) bool {
-	if s.upload != nil && s.upload.started.Load() {
+	if s.upload != nil && s.upload.isTaken() {
 		return false
 	}
 	switch {
@@ -331,6 +331,9 @@
 	}
 	s.budget.Return(min(left, part))
 	if refusal != nil {
+		if s.upload != nil {
+			s.upload.endAttempt()
+		}
 		s.relay.balancer.End(node)
 		if refusal.Cause == refuse.Shed || refusal.Cause == refuse.UpstreamFailed {
 			s.relay.balancer.RecordResult(time.Now(), node, true)
