Reuse no connection before its request has been written

Callers could get an answer to another request, or none: on a reused connection the goroutine that writes a request with a body may not have run when an answer is there (an upstream that answers twice or before it reads, in the dialect without request IDs). The connection then went back into the pool, and the next request was written on it before the earlier one, or both at the same time through one buffer.

Cause: "fully sent" was kept with the connection and set to false only by that goroutine, so it was still true from the request before. It now belongs to the exchange, where it begins as false, and the writer sets it as its last step. finish closes the connection otherwise, as it did for all other early answers.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"net"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -19,9 +18,6 @@
 	usedAt      time.Time     // end of the last exchange
 	writer      *bufio.Writer
 	sendStarted bool // whether sending the current request has started
-
-	mu        sync.Mutex
-	fullySent bool // whether the current request has been sent with its body
 }
 
 func newConn(nc net.Conn) *conn {
@@ -48,15 +44,10 @@
 
 // send writes a request with its body.
 func (c *conn) send(request *http.Request) error {
-	c.setFullySent(false)
 	if err := request.Write(c.writer); err != nil {
 		return err
 	}
-	if err := c.writer.Flush(); err != nil {
-		return err
-	}
-	c.setFullySent(true)
-	return nil
+	return c.writer.Flush()
 }
 
 // abortUpload closes the sending direction of the connection after a request's
@@ -70,18 +61,6 @@
 	c.close()
 }
 
-func (c *conn) setFullySent(fullySent bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.fullySent = fullySent
-}
-
-func (c *conn) isFullySent() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.fullySent
-}
-
 // reusable reports whether the connection is open and has nothing to read. Data
 // that arrives between requests, such as a second response to an earlier
 // request, would be taken for the response to the next one.
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -22,6 +23,7 @@
 	responseStarted bool          // whether a part of a response has been read
 	pool            *Pool
 	response        *http.Response // set by accept
+	sent            atomic.Bool    // whether the request has been sent with its body
 	skipped         int            // responses that were discarded
 	stop            func() bool    // detaches the call's context from the connection
 	unnamed         bool           // one of them did not name its request
@@ -166,7 +168,11 @@
 	request := e.call.Request
 	e.conn.sendStarted = true
 	if request.Body == nil || request.Body == http.NoBody {
-		return e.conn.send(request)
+		if err := e.conn.send(request); err != nil {
+			return err
+		}
+		e.sent.Store(true)
+		return nil
 	}
 	if e.call.AwaitContinue {
 		e.continueBody = &continueBody{flush: e.conn.writer.Flush, released: make(chan struct{}), body: request.Body}
@@ -175,7 +181,9 @@
 	e.upload.Go(func() {
 		if err := e.conn.send(request); err != nil {
 			e.conn.abortUpload()
+			return
 		}
+		e.sent.Store(true)
 	})
 	return nil
 }
@@ -212,7 +220,7 @@
 		e.conn.close()
 		return
 	}
-	if !e.conn.isFullySent() || e.response.Close || e.conn.reader.Buffered() > 0 {
+	if !e.sent.Load() || e.response.Close || e.conn.reader.Buffered() > 0 {
 		e.conn.close()
 		return
 	}
--- /dev/null
+++ b/internal/conn/pool/upload_test.go
@@ -0,0 +1,145 @@
+package pool
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// earlyServer answers each request before it has read it. It is the Dialer of its
+// connections.
+type earlyServer struct {
+	conns []*earlyConn
+}
+
+// DialContext implements Dialer.
+func (s *earlyServer) DialContext(context.Context, string, string) (net.Conn, error) {
+	conn := &earlyConn{closed: make(chan struct{})}
+	s.conns = append(s.conns, conn)
+	return conn, nil
+}
+
+// call returns a call of a path, with a body if there is one.
+func (s *earlyServer) call(path string, body io.ReadCloser) *Call {
+	request := &http.Request{Body: body, Header: make(http.Header), Host: "x", Method: http.MethodPut, URL: &url.URL{Path: path}}
+	if body != nil {
+		request.ContentLength = -1
+	}
+	return &Call{Deadline: time.Now().Add(time.Minute), Request: request, To: netip.MustParseAddrPort("127.0.0.1:1")}
+}
+
+// earlyConn is a connection of an earlyServer. A read returns the next response at once.
+type earlyConn struct {
+	net.Conn
+	closed chan struct{}
+
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+// Close implements net.Conn.
+func (c *earlyConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *earlyConn) Read(p []byte) (int, error) {
+	return copy(p, ok), nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *earlyConn) SetDeadline(time.Time) error {
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *earlyConn) SetReadDeadline(time.Time) error {
+	return nil
+}
+
+// Write implements net.Conn.
+func (c *earlyConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+		return c.written.Write(p)
+	}
+}
+
+// paths returns the paths of the requests that were written.
+func (c *earlyConn) paths(t *testing.T) string {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var paths []string
+	reader := bufio.NewReader(&c.written)
+	for {
+		request, err := http.ReadRequest(reader)
+		if errors.Is(err, io.EOF) {
+			return strings.Join(paths, " ")
+		}
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, request.Body)
+		assert.NilError(t, err)
+		paths = append(paths, request.URL.Path)
+	}
+}
+
+// closeNotifier is a request body that tells when it has been closed.
+type closeNotifier struct {
+	io.Reader
+	closed chan struct{}
+}
+
+// Close implements io.Closer.
+func (b *closeNotifier) Close() error {
+	close(b.closed)
+	return nil
+}
+
+// TestPoolAwaitsUpload guards against a reused connection that is kept for the next request
+// while the goroutine that writes the current one has yet to run: the next request was
+// written before it, or both at the same time. It runs on one processor, where that
+// goroutine does not run before the early answer has been read.
+func TestPoolAwaitsUpload(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	s := &earlyServer{}
+	p := New(WithDialer(s))
+	body := &closeNotifier{Reader: strings.NewReader("hello"), closed: make(chan struct{})}
+	for _, call := range []*Call{s.call("/1", nil), s.call("/2", body), s.call("/3", nil)} {
+		response, err := p.Do(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, response), "ok\n")
+	}
+	<-body.closed
+	switch paths := s.conns[0].paths(t); {
+	case paths == "/1 /2 /3":
+	case strings.HasPrefix("/1 /2", paths):
+		assert.Equal(t, s.conns[1].paths(t), "/3")
+	default:
+		t.Errorf("the first connection carried the requests in the order %s", paths)
+	}
+}
