Leave the request of a call unchanged in the pool

A Call says that its request is sent unchanged, but its body was replaced by the one that waits for 100 Continue. Sent again, the request had the body of the first exchange inside, which fails once a server has refused it: the second server got a body that was cut. No caller could see that so far, as the relay builds a request for each attempt.

The exchange now sends a copy of the request with its own body.

TestPoolLeavesRequest failed before: upload_test.go:189: assertion failed: error is not nil: sent without an answer: io: read/write on closed pipe

--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -176,7 +176,9 @@
 	}
 	if e.call.AwaitContinue {
 		e.continueBody = &continueBody{flush: e.conn.writer.Flush, released: make(chan struct{}), body: request.Body}
-		request.Body = e.continueBody
+		withBody := *request // the caller may send request again
+		withBody.Body = e.continueBody
+		request = &withBody
 	}
 	e.upload.Go(func() {
 		if err := e.conn.send(request); err != nil {
--- a/internal/conn/pool/upload_test.go
+++ b/internal/conn/pool/upload_test.go
@@ -143,3 +143,50 @@
 		t.Errorf("the first connection carried the requests in the order %s", paths)
 	}
 }
+
+// pipeDialer is the Dialer of pipes to servers, one for each connection in turn.
+type pipeDialer struct {
+	servers []func(c net.Conn)
+}
+
+// DialContext implements Dialer.
+func (d *pipeDialer) DialContext(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	serve := d.servers[0]
+	d.servers = d.servers[1:]
+	go serve(server)
+	return client, nil
+}
+
+// TestPoolLeavesRequest guards against a body that is cut when a request is sent again after
+// a server has refused it without its body.
+func TestPoolLeavesRequest(t *testing.T) {
+	received := make(chan string, 1)
+	refuse := func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 3\r\n\r\nno\n")
+		}
+	}
+	accept := func(c net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		data, err := io.ReadAll(request.Body)
+		received <- string(data)
+		if err == nil {
+			_, _ = io.WriteString(c, ok)
+		}
+	}
+	p := New(WithDialer(&pipeDialer{servers: []func(net.Conn){refuse, accept}}))
+	call := (&earlyServer{}).call("/", io.NopCloser(strings.NewReader("hello")))
+	call.AwaitContinue = true
+	response, err := p.Do(t.Context(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, readAll(t, response), "no\n")
+	response, err = p.Do(t.Context(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, <-received, "hello")
+	assert.Equal(t, readAll(t, response), "ok\n")
+}
