Count the bytes of chunked bodies between nodes

A body without a length ends at its last chunk, so that one that lacks bytes looks whole: the upstream ran the request with another body and the caller got 200.

The node that sends such a body to another one ends it with a trailer that tells how many bytes it forwarded. The node beside the upstream compares it with what it read and cuts the request if they differ (502, may have run; counter Shifted).

--- a/internal/request/chain/chain.go
+++ b/internal/request/chain/chain.go
@@ -28,6 +28,9 @@
 	HeaderRetriesLeft = "Wasabibend-Retries-Left"
 	// HeaderLoad carries the load of the answering node's gate.
 	HeaderLoad = "Wasabibend-Load"
+	// TrailerBodyBytes is the trailer that carries the number of bytes of a body without a
+	// length.
+	TrailerBodyBytes = "Wasabibend-Body-Bytes"
 	// HeaderToken carries the token that identifies the request for which an
 	// upstream makes sub-calls.
 	HeaderToken = "Wasabibend-Token"
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -8,9 +8,12 @@
 	"io"
 	"math"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wasabibend/wasabibend/internal/request/chain"
 )
 
 // maxReplayBytes is the maximum size of a body that is buffered, so that it can
@@ -142,11 +145,12 @@
 // attemptBody is the body of a request as one attempt to send it reads it. The goroutine that
 // sends the body may run on after the attempt.
 type attemptBody struct {
-	counts  *expvar.Map // of stats.Stats
-	ended   bool        // whether its end has been read
-	offset  int64       // bytes read so far
-	trailer http.Header // set at the end of the body
-	upload  *upload
+	counts   *expvar.Map // of stats.Stats
+	ended    error       // result of reads after its end; nil before
+	fromNode bool        // whether a node sent it, which may have counted its bytes
+	offset   int64       // bytes read so far
+	trailer  http.Header // set at the end of the body
+	upload   *upload
 }
 
 // newAttempt returns the body for the next attempt to send the request. Earlier attempts must
@@ -196,15 +200,44 @@
 		a.counts.Add("Shifted", 1)
 		return 0, errBodyShifted
 	}
+	if a.ended != nil {
+		return 0, a.ended
+	}
 	n, err := a.upload.Read(p)
 	a.offset += int64(n)
-	if errors.Is(err, io.EOF) && !a.ended {
-		a.ended = true
-		copyTrailer(a.trailer, a.upload.request.Trailer)
+	if errors.Is(err, io.EOF) {
+		err = a.end()
+		a.ended = err
 	}
 	return n, err
 }
 
+// addCount makes a body without a length end with a trailer that tells how many bytes it has,
+// so that a node that gets fewer does not take it for a whole one.
+func (a *attemptBody) addCount() {
+	if a.trailer == nil {
+		a.trailer = make(http.Header, 1)
+	}
+	a.trailer[chain.TrailerBodyBytes] = nil
+}
+
+// end takes over the trailer at the end of the body. It returns io.EOF, or errBodyShifted if
+// the node that sent the body counted another number of bytes.
+func (a *attemptBody) end() error {
+	trailer := a.upload.request.Trailer
+	read := strconv.FormatInt(a.offset, 10)
+	if sent := trailer.Get(chain.TrailerBodyBytes); a.fromNode && sent != "" && sent != read {
+		a.counts.Add("Shifted", 1)
+		a.upload.cancel(errBodyShifted)
+		return errBodyShifted
+	}
+	copyTrailer(a.trailer, trailer)
+	if _, ok := a.trailer[chain.TrailerBodyBytes]; ok {
+		a.trailer[chain.TrailerBodyBytes] = []string{read}
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. It does nothing, as the server closes the body.
 func (a *attemptBody) Close() error {
 	return nil
--- a/internal/request/relay/nextattempt_test.go
+++ b/internal/request/relay/nextattempt_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -106,6 +107,7 @@
 
 // bodyReader is a node that reads the body of a request and compares it.
 type bodyReader struct {
+	t           *testing.T
 	body        []byte // that the caller sends
 	refuseFirst bool   // whether to refuse the first call instead
 	calls       atomic.Int32
@@ -119,7 +121,7 @@
 // newBodyReader returns a bodyReader of one request with a body of a length.
 func newBodyReader(t *testing.T, length int) *bodyReader {
 	t.Helper()
-	r := &bodyReader{read: make(chan struct{})}
+	r := &bodyReader{t: t, read: make(chan struct{})}
 	for i := 0; len(r.body) < length; i++ {
 		r.body = fmt.Appendf(r.body, "%08d", i)
 	}
@@ -153,6 +155,9 @@
 	r.got, r.complete = got, err == nil
 	r.mu.Unlock()
 	if err == nil {
+		if request.ContentLength < 0 {
+			assert.Check(r.t, request.Trailer.Get(chain.TrailerBodyBytes) == strconv.Itoa(len(got)), "trailer %v of a body of %d bytes", request.Trailer, len(got))
+		}
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", chain.HeaderAnswer, callID(call))
 	}
 }
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -201,6 +201,7 @@
 	}
 	u := newUpload(w, req, lc.deadline, lc.relay.Idle, 0, lc.cancel)
 	body := u.newAttempt(lc.relay.Stats.Bodies)
+	body.fromNode = true
 	request.Trailer = body.trailer
 	request.Body = body
 	return request, u
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -467,10 +467,13 @@
 		body := s.upload.newAttempt(s.relay.Stats.Bodies)
 		request.Body = body
 		request.ContentLength = s.request.ContentLength
-		request.Trailer = body.trailer
 		if pathPrefix != "" {
 			header["Expect"] = []string{"100-continue"}
+			if request.ContentLength < 0 {
+				body.addCount()
+			}
 		}
+		request.Trailer = body.trailer
 	}
 	return request
 }
