Send long bodies in the soak, and check them at the upstreams

Cause: the soak had no long bodies, no upstream that answers before it has read a body, and no check of bytes, so it could not find bodies that differ from the caller's.

Change: callers (-uploading, at each host) send bodies of 17,000 to 700,000 bytes at several paces, a third of them without a length, a quarter with Expect: 100-continue, and go on sending after an early answer. Upstreams answer half of them early. Two guarantees, without a bound on time: an upstream reads only the bytes that the caller sent, each at its offset, and a body that is complete at an upstream is the caller's whole body. Idle runs and bodies runs share an interface.

TestSoak has not run with the callers of long bodies.

--- a/internal/cmds/soak/callers.go
+++ b/internal/cmds/soak/callers.go
@@ -25,13 +25,17 @@
 	routeInner    = "inner"
 	routeLookup   = "lookup"
 	routeOrder    = "order"    // not idempotent; only resting callers use it
+	routeStore    = "store"    // idempotent, with long bodies
 	routeTransfer = "transfer" // not idempotent: must not run twice
+	routeUpload   = "upload"   // not idempotent, with long bodies
 )
 
 // Outcome is a request and what its caller observed.
 type Outcome struct {
 	// Response is the complete response, nil if there was none.
 	Response *mimic.Response
+	// BodyBytes is the length of the request's body.
+	BodyBytes int
 	// Behind means that an earlier request on the same connection had no response yet
 	// when this one was sent.
 	Behind   bool
@@ -49,6 +53,7 @@
 	Reached Reached
 	Route   string
 	Sent    time.Time
+	Upload  bool // sent by a caller with long bodies
 	// Whole is when a resting caller had sent the last byte. It is zero for other callers,
 	// and if sending failed.
 	Whole time.Time
@@ -158,17 +163,18 @@
 	case routeBrowse:
 		r.Path += "?" + mimic.QueryCall + "=/" + routeInner + "/x"
 	}
-	return r, Outcome{Customer: customer, Host: host, ID: r.ID, Route: route}
+	return r, Outcome{BodyBytes: r.BodyBytes, Customer: customer, Host: host, ID: r.ID, Route: route}
 }
 
 // record adds the outcome of a request. Only customer amis counts for recovered: it
 // has neither a rate limit nor a key that may be withdrawn. Requests of resting callers
-// do not count, as they may cross the end of their connection.
+// do not count, as they may cross the end of their connection, nor do those with long
+// bodies, some of which upstreams refuse.
 func (c *callers) record(o Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
-	if o.Customer == "amis" && !o.Kept {
+	if o.Customer == "amis" && !o.Kept && !o.Upload {
 		c.recent[o.Host] = append(c.recent[o.Host], o.served())
 		c.recent[o.Host] = c.recent[o.Host][max(len(c.recent[o.Host])-recentRequests, 0):]
 	}
--- a/internal/cmds/soak/check.go
+++ b/internal/cmds/soak/check.go
@@ -27,12 +27,14 @@
 
 // Guarantees without a time bound, which hold however slow the machine is.
 const (
+	guaranteeBody     = "an upstream reads only the bytes that the caller sent, each at its offset"
 	guaranteeCut      = "a request that runs is answered whole if no fault affects the hosts that it passes"
 	guaranteeCustomer = "a request runs for the customer of its key, and the upstream does not see the key"
 	guaranteeNotRun   = "a request that is reported as not run has not run"
 	guaranteeOnce     = "a request that is not idempotent runs at most once"
 	guaranteeComplete = "a success is the complete response of an upstream to this request"
 	guaranteeRoute    = "an upstream runs only requests that were sent, at a service of their route"
+	guaranteeWhole    = "a body that is complete at an upstream is the caller's whole body"
 	guaranteeValid    = "a request with a valid key and route is not refused as invalid"
 )
 
@@ -73,9 +75,10 @@
 		c.outcomeByID[obs.Outcomes[i].ID] = &obs.Outcomes[i]
 	}
 	for _, r := range obs.Records {
-		if r.Kind == mimic.Called {
+		switch r.Kind {
+		case mimic.Called:
 			c.upstreamCalls[r.ID] = true
-		} else {
+		case mimic.Ran:
 			c.runsByID[r.ID] = append(c.runsByID[r.ID], r)
 		}
 	}
@@ -95,6 +98,7 @@
 	}
 	for _, r := range obs.Records {
 		c.checkRecord(&r)
+		c.checkBody(&r)
 	}
 	if checkTimeBounds {
 		c.checkRate()
@@ -112,7 +116,7 @@
 // checkOutcome checks the response to a request against the runs of the request.
 func (c *checker) checkOutcome(o *Outcome) {
 	runs := len(c.runsByID[o.ID])
-	if (o.Route == routeOrder || o.Route == routeTransfer) && runs > 1 {
+	if (o.Route == routeOrder || o.Route == routeTransfer || o.Route == routeUpload) && runs > 1 {
 		c.addViolation(guaranteeOnce, "%s ran %d times", o.ID, runs)
 	}
 	if o.Response == nil {
@@ -124,6 +128,8 @@
 	switch {
 	case o.Response.Status == http.StatusOK && !o.Response.Verified:
 		c.addViolation(guaranteeComplete, "%s got a wrong or incomplete response at host %d", o.ID, o.Host+1)
+	case o.Response.BodyDiffers:
+		c.addViolation(guaranteeWhole, "%s got a successful response of an upstream that had read another whole body", o.ID)
 	case o.Response.Status == http.StatusOK && runs == 0:
 		c.addViolation(guaranteeComplete, "%s got a successful response but did not run", o.ID)
 	case o.Response.NotRun && runs > 0:
@@ -167,6 +173,33 @@
 	}
 }
 
+// checkBody checks what an upstream read of a request's body.
+func (c *checker) checkBody(r *mimic.Record) {
+	if r.Kind != mimic.Read {
+		return
+	}
+	o := c.outcomeByID[r.ID]
+	switch {
+	case o == nil:
+		c.addViolation(guaranteeBody, "%s at host %d: the body of a request that was not sent", r.ID, c.InstanceHosts[r.Instance]+1)
+	case r.Body.Whole && (r.Body.Bytes != int64(o.BodyBytes) || r.Body.DiffersAt != nil):
+		c.addViolation(guaranteeWhole, "%s sent at host %d, read at host %d: %d bytes%s, the caller's body has %d", r.ID, o.Host+1, c.InstanceHosts[r.Instance]+1, r.Body.Bytes, difference(r.Body), o.BodyBytes)
+	case r.Body.DiffersAt != nil:
+		c.addViolation(guaranteeBody, "%s sent at host %d, read at host %d: %d bytes%s", r.ID, o.Host+1, c.InstanceHosts[r.Instance]+1, r.Body.Bytes, difference(r.Body))
+	}
+}
+
+// difference describes how a body differs from the caller's, empty if it does not.
+func difference(body *mimic.Body) string {
+	switch {
+	case body.DiffersAt == nil:
+		return ""
+	case body.SentAt == nil:
+		return fmt.Sprintf(", other ones from offset %d on", *body.DiffersAt)
+	}
+	return fmt.Sprintf(", from offset %d on those that were sent at offset %d", *body.DiffersAt, *body.SentAt)
+}
+
 // drainSlack allows for the time that the acknowledgement that the upstream drains and
 // the request spend in transit.
 const drainSlack = 300 * time.Millisecond
@@ -174,7 +207,7 @@
 // serviceOf returns the service to which a path's route leads.
 func serviceOf(path string) string {
 	route, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	if route == routeBrowse || route == routeOrder || strings.HasPrefix(route, "added") {
+	if route == routeBrowse || route == routeOrder || route == routeStore || strings.HasPrefix(route, "added") {
 		return "listings"
 	}
 	return "ledger"
--- a/internal/cmds/soak/check_test.go
+++ b/internal/cmds/soak/check_test.go
@@ -156,6 +156,29 @@
 			cutUnrun(obs, time.Second)
 			obs.Outcomes[0].Whole = time.Time{}
 		}, ""},
+		{"body of the caller", func(obs *Observations) { upload(obs, mimic.Body{Bytes: 20000, Whole: true}) }, ""},
+		{"part of a body", func(obs *Observations) { upload(obs, mimic.Body{Bytes: 19999}) }, ""},
+		{"body with other bytes", func(obs *Observations) { upload(obs, mimic.Body{Bytes: 4096, DiffersAt: new(int64)}) }, guaranteeBody},
+		{"body of a request that was not sent", func(obs *Observations) {
+			upload(obs, mimic.Body{Bytes: 4096})
+			obs.Records[1].ID = "other"
+		}, guaranteeBody},
+		{"whole body with other bytes", func(obs *Observations) { upload(obs, mimic.Body{Bytes: 20000, DiffersAt: new(int64), Whole: true}) }, guaranteeWhole},
+		{"whole body that is shorter", func(obs *Observations) { upload(obs, mimic.Body{Bytes: 19999, Whole: true}) }, guaranteeWhole},
+		{"whole body that is longer", func(obs *Observations) { upload(obs, mimic.Body{Bytes: 20001, Whole: true}) }, guaranteeWhole},
+		{"whole body of a refused request", func(obs *Observations) {
+			upload(obs, mimic.Body{Bytes: 19999, Whole: true})
+			obs.Records, obs.Outcomes[0].Response = obs.Records[1:], &mimic.Response{NotRun: true, Status: http.StatusServiceUnavailable}
+		}, guaranteeWhole},
+		{"body read of a refused request", func(obs *Observations) {
+			upload(obs, mimic.Body{Bytes: 20000, Whole: true})
+			obs.Records, obs.Outcomes[0].Response = obs.Records[1:], &mimic.Response{NotRun: true, Status: http.StatusServiceUnavailable}
+		}, ""},
+		{"success for another body", func(obs *Observations) { obs.Outcomes[0].Response.BodyDiffers = true }, guaranteeWhole},
+		{"long body of a request that is not idempotent runs twice", func(obs *Observations) {
+			obs.Outcomes[0].Route = routeUpload
+			obs.Records = append(obs.Records, obs.Records[0])
+		}, guaranteeOnce},
 		{"customer within its rate", func(obs *Observations) { repeat(obs, 100, 5*time.Second) }, ""},
 		{"customer beyond its rate", func(obs *Observations) { repeat(obs, 300, 5*time.Second) }, guaranteeRate},
 	} {
@@ -189,6 +212,13 @@
 	obs.Records = nil
 }
 
+// upload makes the request of the observations one with a body of 20,000 bytes, and adds what
+// its upstream read of it.
+func upload(obs *Observations, read mimic.Body) {
+	obs.Outcomes[0].BodyBytes = 20000
+	obs.Records = append(obs.Records, mimic.Record{Body: &read, ID: obs.Outcomes[0].ID, Kind: mimic.Read})
+}
+
 // repeat adds served requests of the customer with a rate limit, spread evenly over
 // a time.
 func repeat(obs *Observations, requests int, over time.Duration) {
@@ -217,7 +247,7 @@
 // is within the run.
 func TestIdleEvents(t *testing.T) {
 	for name, run := range idleRuns {
-		events := run.events()
+		events := run.events(1)
 		assert.Check(t, slices.IsSortedFunc(events, func(a, b Event) int { return int(a.At - b.At) }), name)
 		want := idleChanges
 		if run.fault != "" {
@@ -228,6 +258,22 @@
 	}
 }
 
+// TestBodiesEvents checks that a seed fixes the events of each bodies run, that they are
+// sorted, and that each kind of fault occurs.
+func TestBodiesEvents(t *testing.T) {
+	for name, run := range bodiesRuns {
+		events := run.events(7)
+		assert.DeepEqual(t, events, run.events(7))
+		assert.Check(t, slices.IsSortedFunc(events, func(a, b Event) int { return int(a.At - b.At) }), name)
+		for _, fault := range run.faults {
+			assert.Check(t, slices.ContainsFunc(events, func(e Event) bool { return e.Fault == fault }), name)
+		}
+		for _, e := range events {
+			assert.Check(t, e.At >= faultFreePeriod && e.At < bodiesLength && e.Host < run.hosts() && e.Duration <= maxBodiesPause, "%+v", e)
+		}
+	}
+}
+
 // TestOutcomeCut checks that an unexpected end of the connection counts as cut, and a
 // request with a response does not.
 func TestOutcomeCut(t *testing.T) {
--- a/internal/cmds/soak/idle.go
+++ b/internal/cmds/soak/idle.go
@@ -1,12 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"time"
-
-	"github.com/gravitational/trace"
 )
 
 // idleRun is a run at one host of callers that rest, while the idle timeout changes in
@@ -50,8 +47,12 @@
 	idlePause          = 3 * time.Second
 )
 
-// events returns the events of the run at its first host, which is the one with callers.
-func (r idleRun) events() []Event {
+// hosts implements variant.
+func (idleRun) hosts() int { return idleHosts }
+
+// events implements variant. The events are at the first host, which is the one with
+// callers.
+func (r idleRun) events(uint64) []Event {
 	var all []Event
 	for i := range idleChanges {
 		at := time.Duration(1+2*i) * idleChangeInterval
@@ -68,19 +69,19 @@
 	return all
 }
 
-// programPath returns a function for the paths of programs. If the run limits the
-// descriptors of nodes, that of the node is a script in a directory that sets the limit.
+// length implements variant.
+func (idleRun) length() time.Duration { return 0 }
+
+// programPath implements variant. If the run limits the descriptors of nodes, that of the
+// node is a script that sets the limit.
 func (r idleRun) programPath(dir string, programPath func(name string) (string, error)) func(name string) (string, error) {
 	if r.descriptors == 0 {
 		return programPath
 	}
-	return func(name string) (string, error) {
-		path, err := programPath(name)
-		if err != nil || name != "wasabibend" {
-			return path, trace.Wrap(err)
-		}
-		script := filepath.Join(dir, "node.sh")
-		text := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec '%s' \"$@\"\n", r.descriptors, path)
-		return script, trace.ConvertSystemError(os.WriteFile(script, []byte(text), 0o700))
-	}
+	return nodeScript(dir, programPath, fmt.Sprintf("ulimit -n %d", r.descriptors))
+}
+
+// startCallers implements variant.
+func (r idleRun) startCallers(ctx context.Context, c *callers, seed uint64) {
+	c.startResting(ctx, 0, seed, r.resting)
 }
--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -8,12 +8,9 @@
 	"flag"
 	"fmt"
 	"io"
-	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -38,8 +35,6 @@
 	Events int
 	// Hosts is the number of hosts.
 	Hosts int
-	// Idle is the variant of the idle run to play in place of the seed's plan, empty for none.
-	Idle string
 	// FaultPeriod is the time from the start within which faults begin.
 	FaultPeriod time.Duration
 	// Out receives the summary and the violations.
@@ -50,6 +45,10 @@
 	ProgramPath func(name string) (string, error)
 	// CheckTimeBounds is whether to check also the guarantees with a time bound.
 	CheckTimeBounds bool
+	// Uploading is the number of callers at each host that send long bodies.
+	Uploading int
+	// Variant is played in place of the seed's plan if it is not nil.
+	Variant variant
 }
 
 func main() {
@@ -67,13 +66,16 @@
 	flag.IntVar(&options.Events, "events", 14, "the minimum `number` of faults of a seed")
 	flag.IntVar(&options.Hosts, "hosts", 12, "the `number` of hosts, with a node and an upstream each")
 	flag.DurationVar(&options.FaultPeriod, "length", 20*time.Second, "the `time` from the start within which faults begin")
-	flag.StringVar(&options.Idle, "idle", "", "play, in place of faults, the `variant` of the idle run: "+strings.Join(slices.Sorted(maps.Keys(idleRuns)), ", "))
+	bodies := flag.String("bodies", "", "play, in place of the seed's faults, the `variant` of the bodies run: "+names(bodiesRuns))
+	idle := flag.String("idle", "", "play, in place of the seed's faults, the `variant` of the idle run: "+names(idleRuns))
 	flag.IntVar(&options.Resting.Callers, "resting", mixedCallers.Callers, "the `number` of callers at each host that rest between requests")
 	seed := flag.Uint64("seed", 1, "the first `seed`")
 	seeds := flag.Uint64("seeds", 1, "the `number` of seeds")
+	flag.IntVar(&options.Uploading, "uploading", 3, "the `number` of callers at each host that send long bodies")
 	flag.Parse()
-	if _, ok := idleRuns[options.Idle]; !ok && options.Idle != "" {
-		return trace.BadParameter("-idle %q: no such variant", options.Idle)
+	var err error
+	if options.Variant, err = chooseVariant(*idle, *bodies); err != nil {
+		return trace.Wrap(err)
 	}
 	violated := 0
 	for s := *seed; s < *seed+*seeds; s++ {
@@ -110,8 +112,9 @@
 		}
 	}
 	newTally(observations).print(options.Out)
+	newBodyTally(observations).print(options.Out)
 	recovery := ""
-	if options.Idle == "" {
+	if options.Variant == nil {
 		recovery = fmt.Sprintf("recovered after %v, ", observations.RecoveryTime.Round(time.Millisecond))
 	}
 	fmt.Fprintf(options.Out, "seed %d: %d events, %d of %d requests served, %s%d violations\n",
@@ -129,14 +132,14 @@
 // maxPrintedViolations is the maximum number of violations printed for a seed.
 const maxPrintedViolations = 10
 
-// collectObservations starts a fleet, injects the faults of a seed's plan or of an idle
-// run, waits for recovery and returns what was observed.
+// collectObservations starts a fleet, injects the faults of a seed's plan or of a variant,
+// waits for recovery after a plan, and returns what was observed.
 func collectObservations(ctx context.Context, seed uint64, dir string, options Options) (*Observations, error) {
 	testbedCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	run, isIdle := idleRuns[options.Idle]
-	if isIdle {
-		options.Hosts = idleHosts
+	run := options.Variant
+	if run != nil {
+		options.Hosts = run.hosts()
 		options.ProgramPath = run.programPath(dir, options.ProgramPath)
 	}
 	b, err := startTestbed(testbedCtx, dir, options.Hosts, options.ProgramPath)
@@ -163,13 +166,14 @@
 	defer endCallers()
 	c := newCallers(b.fleet.Hosts, o)
 	obs := &Observations{PlanStart: time.Now()}
-	if isIdle {
-		c.startResting(callersCtx, 0, seed, run.resting)
-		obs.Events = run.events()
+	if run != nil {
+		run.startCallers(callersCtx, c, seed)
+		obs.Events = run.events(seed)
 	} else {
 		c.start(callersCtx)
 		for host := range b.fleet.Hosts {
 			c.startResting(callersCtx, host, seed, options.Resting)
+			c.startUploading(callersCtx, host, seed, options.Uploading)
 		}
 		obs.Events = plan(seed, options.FaultPeriod, options.Events, options.Hosts, len(zones))
 	}
@@ -177,7 +181,11 @@
 		return nil, trace.Wrap(err)
 	}
 	obs.FaultsEnded = time.Now()
-	if !isIdle {
+	if run != nil {
+		if err := pause.For(ctx, time.Until(obs.PlanStart.Add(run.length()))); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	} else {
 		if err := awaitRecovery(ctx, c); err != nil {
 			return nil, trace.Wrap(err)
 		}
--- a/internal/cmds/soak/operator.go
+++ b/internal/cmds/soak/operator.go
@@ -60,6 +60,7 @@
 		Routes: []rows.Route{
 			route(routeBrowse, "listings", true, false), route(routeTransfer, "ledger", false, false), route(routeOrder, "listings", false, false),
 			route(routeLookup, "ledger", true, false), route(routeInner, "ledger", true, true),
+			route(routeStore, "listings", true, false), route(routeUpload, "ledger", false, false),
 		},
 		Services: []rows.ServiceInfo{{HealthPath: "/healthz", Name: "ledger"}, {HealthPath: "/healthz", Name: "listings"}},
 		Version:  1,
--- a/internal/cmds/soak/resting.go
+++ b/internal/cmds/soak/resting.go
@@ -195,7 +195,7 @@
 	var outcomes []Outcome
 	open := true
 	for i, r := range requests {
-		o := Outcome{Behind: i > 0, First: !c.answered, ID: r.ID, Kept: true, Sent: now, Whole: whole}
+		o := Outcome{Behind: i > 0, BodyBytes: r.BodyBytes, First: !c.answered, ID: r.ID, Kept: true, Sent: now, Whole: whole}
 		if err == nil {
 			o.Response, o.Partial, err = c.receive(r, sent[i])
 			open = open && !sent[i].Close
--- a/internal/cmds/soak/testbed.go
+++ b/internal/cmds/soak/testbed.go
@@ -38,6 +38,10 @@
 // its response is lost.
 const responseLossProbability = 0.002
 
+// earlyProbability is the probability that an upstream answers a request with a long body
+// before it has read the body.
+const earlyProbability = 0.5
+
 // testbed is a fleet of processes that are connected through fault-injecting
 // proxies.
 type testbed struct {
@@ -61,7 +65,7 @@
 		Dir: dir, UseProxies: true, Hosts: specs, ProgramPath: programPath, Settings: nodeSettings, PlatformDialect: true,
 		UpstreamCommand: func(host *procs.Host) (string, []string) {
 			return "mimic", []string{
-				"-address", host.ProxyAddresses().Server.String(), "-callers", host.Callers().String(), "-host", hostName,
+				"-address", host.ProxyAddresses().Server.String(), "-callers", host.Callers().String(), "-early", fmt.Sprint(earlyProbability), "-host", hostName,
 				"-journal", b.journalPath(host), "-listen", host.Server().String(), "-lost", fmt.Sprint(responseLossProbability),
 				"-reports", host.Reports().String(), "-service", host.Service, "-zone", host.Zone,
 			}
