Send the head of a request without a length at once

DELETE, GET, HEAD and OPTIONS requests with a chunked body took 200 ms longer at each hop whose server waits for the head: from node to node always, as the body is held back until the other node asks for it. On a busy machine the head could be sent in disorder, with its first lines twice, so that the other node or the upstream got a malformed request.

Cause: for such methods net/http reads the first byte of a body without a length on a goroutine of its own, for 200 ms, to see whether there is any, and then writes on without it. That read flushes the buffer with the first half of the head, and waits for 100 Continue, which cannot come. If the flush runs late or blocks, it does so while the rest of the head is written to the same buffer; the race detector reports that, too. After a failed attempt the goroutine may still read a byte of the body.

The exchange now says itself that the body is chunked, in its copy of the request, so that net/http does not look. An empty chunked body is passed on as one.

TestPoolSendsHeadAtOnce failed before: upload_test.go:236: assertion failed: delay is not 0: the head came 200ms late and with a server that reads after 300 ms: upload_test.go:240: assertion failed: error is not nil: invalid byte in chunk length

--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -174,14 +174,18 @@
 		e.sent.Store(true)
 		return nil
 	}
+	withBody := *request            // the caller may send request again
+	if request.ContentLength <= 0 { // the length is unknown
+		// Otherwise net/http would read the first byte of some bodies on another
+		// goroutine while it writes the head.
+		withBody.TransferEncoding = []string{"chunked"}
+	}
 	if e.call.AwaitContinue {
 		e.continueBody = &continueBody{flush: e.conn.writer.Flush, released: make(chan struct{}), body: request.Body}
-		withBody := *request // the caller may send request again
 		withBody.Body = e.continueBody
-		request = &withBody
 	}
 	e.upload.Go(func() {
-		if err := e.conn.send(request); err != nil {
+		if err := e.conn.send(&withBody); err != nil {
 			e.conn.abortUpload()
 			return
 		}
--- a/internal/conn/pool/upload_test.go
+++ b/internal/conn/pool/upload_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -155,7 +156,21 @@
 	serve := d.servers[0]
 	d.servers = d.servers[1:]
 	go serve(server)
-	return client, nil
+	return &pipeConn{Conn: client, writing: make(chan struct{}, 1)}, nil
+}
+
+// pipeConn is a connection of a pipeDialer. Unlike those of a pipe, its writes wait for one
+// another without a lock, which virtual time needs.
+type pipeConn struct {
+	net.Conn
+	writing chan struct{}
+}
+
+// Write implements net.Conn.
+func (c *pipeConn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	return c.Conn.Write(p)
 }
 
 // TestPoolLeavesRequest guards against a body that is cut when a request is sent again after
@@ -190,3 +205,49 @@
 	assert.Equal(t, <-received, "hello")
 	assert.Equal(t, readAll(t, response), "ok\n")
 }
+
+// TestPoolSendsHeadAtOnce guards against the head of a request without a length whose method
+// usually has no body: it was delayed by 200 ms, and was sent in disorder to a server that
+// read late, as another goroutine read the first byte of the body while it was written.
+func TestPoolSendsHeadAtOnce(t *testing.T) {
+	for _, method := range []string{http.MethodDelete, http.MethodGet, http.MethodPut} {
+		for _, pause := range []time.Duration{0, 300 * time.Millisecond} {
+			t.Run(method+" after "+pause.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { sendHeadAtOnce(t, method, pause) })
+			})
+		}
+	}
+}
+
+// sendHeadAtOnce sends a request to a server that begins to read after a pause and then asks
+// for the body.
+func sendHeadAtOnce(t *testing.T, method string, pause time.Duration) {
+	started := time.Now()
+	ended := make(chan struct{})
+	serve := func(c net.Conn) {
+		defer close(ended)
+		defer c.Close()
+		time.Sleep(pause)
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if !assert.Check(t, err) {
+			return
+		}
+		delay := time.Since(started) - pause
+		assert.Check(t, delay == 0, "the head came %v late", delay)
+		_, err = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		assert.Check(t, err)
+		data, err := io.ReadAll(request.Body)
+		assert.Check(t, err)
+		assert.Check(t, string(data) == "hello", "the body is %q", data)
+		_, err = io.WriteString(c, ok)
+		assert.Check(t, err)
+	}
+	call := (&earlyServer{}).call("/", io.NopCloser(strings.NewReader("hello")))
+	call.AwaitContinue = true
+	call.Request.Method = method
+	response, err := New(WithDialer(&pipeDialer{servers: []func(net.Conn){serve}})).Do(t.Context(), call)
+	if assert.Check(t, err) {
+		assert.Equal(t, readAll(t, response), "ok\n")
+	}
+	<-ended
+}
