--- a/internal/cmds/days/day.go
+++ b/internal/cmds/days/day.go
@@ -32,6 +32,10 @@
 
 // Day is what was observed of a day.
 type Day struct {
+	// Bodies is the number of bodies that upstreams checked.
+	Bodies int
+	// Differing describes each body that is not the caller's.
+	Differing []string
 	// Late is the largest lateness of the load's timer. A machine that falls behind the
 	// demand makes it grow.
 	Late     time.Duration
@@ -143,6 +147,7 @@
 func (d *Day) print(out io.Writer) {
 	served, sent := d.served(0, d.Sheet.Length, anyOutcome)
 	fmt.Fprintf(out, "served %d of %d (%.4f), the timer was late by %v at most\n", served, sent, float64(served)/float64(max(sent, 1)), d.Late.Round(time.Millisecond))
+	fmt.Fprintf(out, "upstreams checked %d bodies, %d differ\n", d.Bodies, len(d.Differing))
 	for i := range d.Sheet.Kinds {
 		k := &d.Sheet.Kinds[i]
 		inTime := 0
--- a/internal/cmds/days/fleet.go
+++ b/internal/cmds/days/fleet.go
@@ -34,6 +34,15 @@
 	proxies []*procs.HostProxies // by host
 }
 
+// earlyProbability is the probability that an upstream answers a request with a long body
+// before it has read the body.
+const earlyProbability = 0.02
+
+// journalPath returns the file to which a host's upstream writes what it runs and reads.
+func journalPath(dir string, host *procs.Host) string {
+	return filepath.Join(dir, host.Name+".runs")
+}
+
 // startFleet starts the processes of a sheet with its configuration, and waits until all
 // nodes serve. The caller must call Close. The proxies run until the context ends.
 func startFleet(ctx context.Context, sheet *Sheet, options Options) (*fleet, error) {
@@ -49,8 +58,8 @@
 		Dir: options.Dir, UseProxies: true, Hosts: specs, ProgramPath: options.ProgramPath, Settings: sheet.Settings, PlatformDialect: true,
 		UpstreamCommand: func(host *procs.Host) (string, []string) {
 			return "mimic", []string{
-				"-address", host.ProxyAddresses().Server.String(), "-callers", host.Callers().String(), "-host", hostName,
-				"-journal", filepath.Join(options.Dir, host.Name+".runs"), "-listen", host.Server().String(),
+				"-address", host.ProxyAddresses().Server.String(), "-callers", host.Callers().String(), "-early", fmt.Sprint(earlyProbability), "-host", hostName,
+				"-journal", journalPath(options.Dir, host), "-listen", host.Server().String(),
 				"-reports", host.Reports().String(), "-service", host.Service, "-slots", fmt.Sprint(slots[host.Service]), "-zone", host.Zone,
 			}
 		},
--- a/internal/cmds/days/load.go
+++ b/internal/cmds/days/load.go
@@ -32,12 +32,17 @@
 // maxIdleConns is the number of idle connections that callers keep to each host.
 const maxIdleConns = 256
 
+// chunkedFraction is the fraction of bodies that are sent without their length.
+const chunkedFraction = 1.0 / 3
+
 // Outcome is a request of a caller and what became of it.
 type Outcome struct {
-	Customer int
-	Done     time.Time
-	Host     int
-	Kind     *Kind
+	// BodyDiffers is set if an upstream read another whole body and answered with success.
+	BodyDiffers bool
+	Customer    int
+	Done        time.Time
+	Host        int
+	Kind        *Kind
 	// NotRun is set if the last attempt was answered with a status that promises that it
 	// has not run.
 	NotRun bool
@@ -125,6 +130,7 @@
 		o.Status, o.NotRun, o.Served = 0, false, false
 		wait := time.Duration(0)
 		if err == nil {
+			o.BodyDiffers = o.BodyDiffers || response.BodyDiffers
 			o.Status, o.NotRun, o.Served, wait = response.Status, response.NotRun, response.Verified, response.RetryAfter
 		}
 		left := time.Until(deadline)
@@ -149,7 +155,7 @@
 		method = http.MethodGet
 	}
 	return &mimic.Request{
-		Address: l.hosts[o.Host].Callers(), BodyBytes: k.Body, Host: hostName, ID: id, Key: "key-" + customerName(o.Customer),
+		Address: l.hosts[o.Host].Callers(), BodyBytes: k.Body, Chunked: k.Body > 0 && rand.Float64() < chunkedFraction, Host: hostName, ID: id, Key: "key-" + customerName(o.Customer),
 		Method: method, Path: l.sheet.path(k, id), Timeout: max(left, time.Millisecond),
 	}
 }
--- a/internal/cmds/days/main.go
+++ b/internal/cmds/days/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/fakes/procs"
 	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/platform/mimic"
 )
 
 // Options configure a run.
@@ -60,6 +61,12 @@
 		return trace.Wrap(err)
 	}
 	day.print(options.Out)
+	if len(day.Differing) > 0 {
+		for _, text := range day.Differing {
+			fmt.Fprintln(options.Out, "BODY:", text)
+		}
+		return trace.Errorf("bodies were not those of their callers; logs are in %s", options.Dir)
+	}
 	if shortages := day.Check(); len(shortages) > 0 {
 		for _, s := range shortages {
 			fmt.Fprintln(options.Out, "SHORT:", s)
@@ -107,6 +114,14 @@
 	}
 	day.Late = time.Duration(l.late.Load())
 	day.Outcomes = l.outcomes
+	for _, host := range fleet.Hosts {
+		records, err := mimic.ReadJournal(journalPath(options.Dir, host))
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		day.addRecords(records)
+	}
+	day.addOutcomes()
 	return day, nil
 }
 
