Report a panic of the goroutine that writes a request

A panic while a request's body is read was lost: the group that catches it was never waited for. The server and the call then waited for the rest of the body until the deadline, and nothing was logged. The goroutine could also outlive the node's Run.

The panic is now logged and ends the upload like any other error, so that the server sees a body that is cut. The goroutines belong to the pool, and the node waits for them at its end: by then its servers are closed, which ends reads of callers' bodies and all calls.

TestPoolReportsPanic failed before, without its look at the log: upload_test.go:282: assertion failed: 1m0.01s (time.Duration) != 0s (time.Duration)

--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/wasabibend/wasabibend/internal/process/guard"
 )
 
 // errMismatch means that the connection carries responses to other requests.
@@ -27,7 +27,6 @@
 	skipped         int            // responses that were discarded
 	stop            func() bool    // detaches the call's context from the connection
 	unnamed         bool           // one of them did not name its request
-	upload          conc.WaitGroup
 }
 
 // run sends the request and returns the final response. It reads past interim
@@ -174,18 +173,18 @@
 		e.sent.Store(true)
 		return nil
 	}
-	withBody := *request            // the caller may send request again
-	if request.ContentLength <= 0 { // the length is unknown
-		// Otherwise net/http would read the first byte of some bodies on another
-		// goroutine while it writes the head.
+	withBody := *request
+	if request.ContentLength <= 0 {
+		// The length is unknown. Without this net/http would read the first byte of some
+		// bodies on another goroutine while it writes the head.
 		withBody.TransferEncoding = []string{"chunked"}
 	}
 	if e.call.AwaitContinue {
 		e.continueBody = &continueBody{flush: e.conn.writer.Flush, released: make(chan struct{}), body: request.Body}
 		withBody.Body = e.continueBody
 	}
-	e.upload.Go(func() {
-		if err := e.conn.send(&withBody); err != nil {
+	e.pool.uploads.Go(func() {
+		if err := guard.Call(e.pool.log, "upload", func() error { return e.conn.send(&withBody) }); err != nil {
 			e.conn.abortUpload()
 			return
 		}
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -14,6 +14,9 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 )
 
 // Limits of connections and of the responses on them. Interim responses are those
@@ -139,7 +142,9 @@
 // Pool sends requests and keeps idle connections for reuse. It is safe for
 // concurrent use. No other lock is acquired while its lock is held.
 type Pool struct {
-	dialer Dialer
+	dialer  Dialer
+	log     zerolog.Logger
+	uploads conc.WaitGroup // writing requests with a body
 
 	mu         sync.Mutex
 	closed     bool
@@ -162,6 +167,11 @@
 	return func(p *Pool) { p.dialer = dialer }
 }
 
+// WithLog sets the log for panics of goroutines that write requests.
+func WithLog(log zerolog.Logger) Option {
+	return func(p *Pool) { p.log = log }
+}
+
 // WithSource sets the local address of the pool's connections. An invalid address
 // has no effect.
 func WithSource(source netip.Addr) Option {
@@ -174,7 +184,7 @@
 
 // New returns an empty Pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dialer: &net.Dialer{KeepAliveConfig: keepAlive}, idle: make(map[netip.AddrPort][]*conn), idleLimits: make(map[netip.AddrPort]idleLimit)}
+	p := &Pool{dialer: &net.Dialer{KeepAliveConfig: keepAlive}, idle: make(map[netip.AddrPort][]*conn), idleLimits: make(map[netip.AddrPort]idleLimit), log: zerolog.Nop()}
 	for _, option := range options {
 		option(p)
 	}
@@ -198,6 +208,12 @@
 	}
 }
 
+// Wait waits until the goroutines have ended that write requests with a body. Each does so
+// once its call has ended and a read of the body in progress has returned.
+func (p *Pool) Wait() {
+	p.uploads.Wait()
+}
+
 // Do sends a request once and returns the response as soon as its header has been
 // read. The caller must close the response's body. All errors are of type
 // *SendError.
--- a/internal/conn/pool/upload_test.go
+++ b/internal/conn/pool/upload_test.go
@@ -17,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -251,3 +252,37 @@
 	}
 	<-ended
 }
+
+// panickingBody is a request body that cannot be read.
+type panickingBody struct{}
+
+// Read implements io.Reader.
+func (panickingBody) Read([]byte) (int, error) {
+	panic("the body panicked")
+}
+
+// Close implements io.Closer.
+func (panickingBody) Close() error {
+	return nil
+}
+
+// TestPoolReportsPanic guards against a panic of the goroutine that writes a request being
+// lost: the server and the call waited for the rest of the body.
+func TestPoolReportsPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serve := func(c net.Conn) {
+			defer c.Close()
+			if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+			}
+		}
+		var log strings.Builder
+		p := New(WithDialer(&pipeDialer{servers: []func(net.Conn){serve}}), WithLog(zerolog.New(&log)))
+		started := time.Now()
+		_, err := p.Do(t.Context(), (&earlyServer{}).call("/", panickingBody{}))
+		assert.Check(t, err != nil)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		p.Wait()
+		assert.Check(t, strings.Contains(log.String(), "the body panicked"), "the log has %q", log.String())
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -175,7 +175,7 @@
 		gate:        gates.NewGate(gates.NewGradient()),
 		log:         log,
 		offers:      newOffers(),
-		pool:        pool.New(pool.WithSource(settings.Source)),
+		pool:        pool.New(pool.WithLog(log), pool.WithSource(settings.Source)),
 		flushSpans:  flushSpans,
 		stats:       stats.New(),
 		store:       store.NewCounted(platform),
@@ -367,6 +367,7 @@
 		_ = s.http.Close()
 	}
 	workers.Wait()
+	n.pool.Wait()
 	n.background.Wait()
 	n.claims.Wait()
 	n.mesh.Wait()
