--- /dev/null
+++ b/internal/request/relay/rejected_test.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
+)
+
+// TestRejectedBody runs the cases of testdata/rejected.csv in virtual time. It guards against
+// a refusal that is held back until the rest of an unread body has come, for ever if it does
+// not, and against such a body being taken for the next request.
+func TestRejectedBody(t *testing.T) {
+	steps.Cases(t, "testdata/rejected.csv", func(t *testing.T, record []string) {
+		synctest.Test(t, func(t *testing.T) { runRejected(t, record) })
+	})
+}
+
+// runRejected runs one record. Its fields are the name, what refuses the request, the length
+// of the body, how many bytes of it are sent, an additional header, when the refusal comes,
+// and whether the next request on the connection is answered.
+func runRejected(t *testing.T, record []string) {
+	length, err := strconv.Atoi(record[2])
+	assert.NilError(t, err)
+	sent, err := strconv.Atoi(record[3])
+	assert.NilError(t, err)
+	after, err := time.ParseDuration(record[5])
+	assert.NilError(t, err)
+	r := newRelay(t, netip.MustParseAddrPort("127.0.0.1:1"), netip.AddrPort{})
+	handler := r.ServeCaller
+	switch record[1] {
+	case "entry":
+		r.CloseEntry()
+	case "nodes":
+	case "token":
+		handler = r.ServeUpstream
+	default:
+		t.Fatalf("unknown part %q", record[1])
+	}
+	caller, conn := net.Pipe()
+	listener := &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{}), server: &http.Server{Handler: http.HandlerFunc(handler)}}
+	go func() { _ = listener.server.Serve(listener) }()
+	listener.accept <- conn
+	defer synctest.Wait()
+	defer listener.server.Close()
+	defer caller.Close()
+	reader := bufio.NewReader(caller)
+	started := time.Now()
+	go func() {
+		_, _ = fmt.Fprintf(caller, "POST /ledger/x HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", strings.ReplaceAll(record[4], `\r\n`, "\r\n"), length, strings.Repeat("GET /", sent/5))
+	}()
+	assert.NilError(t, caller.SetReadDeadline(started.Add(time.Hour)))
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err, "the refusal did not come")
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.Check(t, response.StatusCode >= http.StatusBadRequest)
+	assert.Equal(t, time.Since(started), after)
+	go func() { _, _ = io.WriteString(caller, "GET /ledger/x HTTP/1.1\r\nHost: x\r\n\r\n") }()
+	_, err = http.ReadResponse(reader, nil)
+	assert.Equal(t, strconv.FormatBool(err == nil), record[6], "%v", err)
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -255,7 +255,7 @@
 	now := time.Now()
 	defer r.inFlight.Add(-1)
 	if r.inFlight.Add(1) > int64(r.Options.InFlight) {
-		r.refuse(w, "", refuse.New(refuse.Overloaded, defaultRetryAfter, "the node holds too many requests"))
+		r.reject(w, req, "", refuse.New(refuse.Overloaded, defaultRetryAfter, "the node holds too many requests"))
 		return
 	}
 	if r.keepAlivesDisabled.Load() || r.Conns != nil && r.Conns.NearLimit() {
@@ -264,12 +264,12 @@
 	id := r.Dialect.RequestID(req.Header)
 	info, refusal := r.Dialect.ReadRequest(req)
 	if refusal != nil {
-		r.rejectCaller(w, id, &policy{}, refusal)
+		r.rejectCaller(w, req, id, &policy{}, refusal)
 		return
 	}
 	p, refusal := r.identify(now, req, info)
 	if refusal != nil {
-		r.rejectCaller(w, id, &p, refusal)
+		r.rejectCaller(w, req, id, &p, refusal)
 		return
 	}
 	// A sub-call of the local upstream has only just been sent, on its own
@@ -278,16 +278,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	if r.entryClosed.Load() && !p.subCall {
-		r.rejectCaller(w, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node is about to end"))
+		r.rejectCaller(w, req, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node is about to end"))
 		return
 	}
 	if !p.subCall && !r.mayFinish(now, r.rootDurations, p.route, p.longest(info)) {
-		r.rejectCaller(w, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node ends before the request would"))
+		r.rejectCaller(w, req, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node ends before the request would"))
 		return
 	}
 	done, refusal := r.admitCaller(req.Context(), now, &p)
 	if refusal != nil {
-		r.rejectCaller(w, id, &p, refusal)
+		r.rejectCaller(w, req, id, &p, refusal)
 		return
 	}
 	defer done()
@@ -301,7 +301,7 @@
 	if key := req.Header.Get(headerIdempotency); key != "" && !c.idempotent && p.customer != "" && r.Catalog == nil {
 		release, refusal := r.Claimer.Claim(req.Context(), p.customer, key)
 		if refusal != nil {
-			r.rejectCaller(w, id, &p, refusal)
+			r.rejectCaller(w, req, id, &p, refusal)
 			return
 		}
 		c.release = release
@@ -349,12 +349,12 @@
 	defer r.inFlight.Add(-1)
 	running := r.tokens.Lookup(req.Header.Get(chain.HeaderToken))
 	if running == nil {
-		r.refuse(w, "", refuse.New(refuse.TokenRejected, 0, "the token is unknown or its request has ended"))
+		r.reject(w, req, "", refuse.New(refuse.TokenRejected, 0, "the token is unknown or its request has ended"))
 		return
 	}
 	call, refusal := r.subCall(now, req, running)
 	if refusal != nil {
-		r.refuse(w, running.Chain.Customer, refusal)
+		r.reject(w, req, running.Chain.Customer, refusal)
 		return
 	}
 	r.callRetries.RecordFirstAttempt(now, call.chain.Service)
@@ -378,11 +378,21 @@
 
 // rejectCaller refuses a request of a caller before it is sent anywhere, and logs
 // the refusal.
-func (r *Relay) rejectCaller(w http.ResponseWriter, id string, p *policy, refusal *refuse.Refusal) {
-	r.refuse(w, p.customer, refusal)
+func (r *Relay) rejectCaller(w http.ResponseWriter, req *http.Request, id string, p *policy, refusal *refuse.Refusal) {
+	r.reject(w, req, p.customer, refusal)
 	r.logRefused(time.Now(), id, p, refusal)
 }
 
+// reject refuses a request whose body has not been read. The HTTP server reads the body
+// before it sends the refusal, for discardTime at most.
+func (r *Relay) reject(w http.ResponseWriter, req *http.Request, customer string, refusal *refuse.Refusal) {
+	if req.ContentLength != 0 {
+		// An error means that the response is not sent by an HTTP server.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
+	}
+	r.refuse(w, customer, refusal)
+}
+
 // refuse writes a refusal as the response and counts it.
 func (r *Relay) refuse(w http.ResponseWriter, customer string, refusal *refuse.Refusal) {
 	r.Stats.Refusals.Add(string(refusal.Cause), 1)
