Say when the pool may still read the body of a request

The comment named reads in progress only. The goroutine that writes a request may also begin its first read after the call has returned, which let a second attempt begin in the middle of a body. No code changes.

--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -101,8 +101,9 @@
 
 // Call is a request with its address and timeouts.
 type Call struct {
-	// Request is sent unchanged. Its body is read in another goroutine, which may
-	// still be in a Read when the response's body is closed.
+	// Request is sent unchanged. Its body is read in another goroutine, which may run late:
+	// it may be in a Read, or begin one, after Do has failed or the response's body has been
+	// closed. A caller that sends the body again must make such reads fail.
 	Request *http.Request
 	// Accept tells by the status and the header whether a response belongs to
 	// the request. Nil means that all responses do.
