--- a/internal/request/relay/rejected_test.go
+++ b/internal/request/relay/rejected_test.go
@@ -29,7 +29,8 @@
 
 // runRejected runs one record. Its fields are the name, what refuses the request, the length
 // of the body, how many bytes of it are sent, an additional header, when the refusal comes,
-// and whether the next request on the connection is answered.
+// whether the next request on the connection is sent with it or after the refusal, and
+// whether that is answered.
 func runRejected(t *testing.T, record []string) {
 	length, err := strconv.Atoi(record[2])
 	assert.NilError(t, err)
@@ -57,9 +58,12 @@
 	defer caller.Close()
 	reader := bufio.NewReader(caller)
 	started := time.Now()
-	go func() {
-		_, _ = fmt.Fprintf(caller, "POST /ledger/x HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", strings.ReplaceAll(record[4], `\r\n`, "\r\n"), length, strings.Repeat("GET /", sent/5))
-	}()
+	const next = "GET /ledger/x HTTP/1.1\r\nHost: x\r\n\r\n"
+	requests := fmt.Sprintf("POST /ledger/x HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", strings.ReplaceAll(record[4], `\r\n`, "\r\n"), length, strings.Repeat("GET /", sent/5))
+	if record[6] == "with it" {
+		requests += next
+	}
+	go func() { _, _ = io.WriteString(caller, requests) }()
 	assert.NilError(t, caller.SetReadDeadline(started.Add(time.Hour)))
 	response, err := http.ReadResponse(reader, nil)
 	assert.NilError(t, err, "the refusal did not come")
@@ -67,7 +71,9 @@
 	assert.NilError(t, err)
 	assert.Check(t, response.StatusCode >= http.StatusBadRequest)
 	assert.Equal(t, time.Since(started), after)
-	go func() { _, _ = io.WriteString(caller, "GET /ledger/x HTTP/1.1\r\nHost: x\r\n\r\n") }()
+	if record[6] == "after" {
+		go func() { _, _ = io.WriteString(caller, next) }()
+	}
 	_, err = http.ReadResponse(reader, nil)
-	assert.Equal(t, strconv.FormatBool(err == nil), record[6], "%v", err)
+	assert.Equal(t, strconv.FormatBool(err == nil), record[7], "%v", err)
 }
