Grant no claim of an attempt that has been released

A caller whose request was refused as not run could get 'the idempotency key was used before' for five minutes, though nothing had run. The node gives up a claim that is not answered in time, or whose caller left, and sends a release behind it. The holder handles both at the same time, and they may come on different links, so the release could be handled first. It found no claim then, and the claim that came after it held the key for nobody.

The holder now remembers a release without a claim for the lifetime of claims and rejects the claim of its attempt. A release that comes before the holder has loaded the shard's claims is still lost.

TestLateClaim failed before: shard_test.go:93: assertion failed: granted is true: the attempt has been given up shard_test.go:96: assertion failed: granted is false: the key is claimed by an attempt that has been given up

--- a/internal/process/claims/client.go
+++ b/internal/process/claims/client.go
@@ -177,7 +177,7 @@
 	}
 	claims := c.byShard[request.Shard]
 	if request.Release {
-		claims.Release(request.ID, request.Attempt)
+		claims.Release(time.Now(), request.ID, request.Attempt)
 		return &Answer{}, nil
 	}
 	granted, err := claims.Claim(ctx, request.ID, request.Attempt)
--- a/internal/process/claims/shard.go
+++ b/internal/process/claims/shard.go
@@ -133,7 +133,7 @@
 		return true, nil
 	}
 	if err := s.save(ctx, id); err != nil {
-		table.Release(id, attempt)
+		table.Release(time.Now(), id, attempt)
 		return false, trace.Wrap(err)
 	}
 	if later, ok := s.leaseState(time.Now()); !ok || later.Term != lease.Term {
@@ -144,12 +144,12 @@
 
 // Release deletes the claim of an attempt that did not run, but only from memory:
 // in the store, it stays until it expires.
-func (s *ShardClaims) Release(id ID, attempt uint64) {
+func (s *ShardClaims) Release(now time.Time, id ID, attempt uint64) {
 	s.mu.Lock()
 	table := s.table
 	s.mu.Unlock()
 	if table != nil {
-		table.Release(id, attempt)
+		table.Release(now, id, attempt)
 	}
 }
 
--- a/internal/process/claims/shard_test.go
+++ b/internal/process/claims/shard_test.go
@@ -76,3 +76,23 @@
 		assert.ErrorContains(t, err, "unexpected error")
 	})
 }
+
+// TestLateClaim guards against a key that nobody can use: the claim of an attempt arrives
+// after its release, as both are handled at the same time or come on different links, and
+// other attempts are then told that the key was used.
+func TestLateClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shard := NewShardClaims(objapi.New().NewMemoryStore(), "zone0", 0, zerolog.Nop(), func(time.Time) (LeaseState, bool) { return LeaseState{Term: 1}, true })
+		granted, err := shard.Claim(t.Context(), ID{1}, 7)
+		assert.NilError(t, err)
+		assert.Check(t, granted)
+
+		shard.Release(time.Now(), ID{2}, 8)
+		granted, err = shard.Claim(t.Context(), ID{2}, 8)
+		assert.NilError(t, err)
+		assert.Check(t, !granted, "the attempt has been given up")
+		granted, err = shard.Claim(t.Context(), ID{2}, 9)
+		assert.NilError(t, err)
+		assert.Check(t, granted, "the key is claimed by an attempt that has been given up")
+	})
+}
--- a/internal/process/claims/table.go
+++ b/internal/process/claims/table.go
@@ -44,19 +44,26 @@
 	mu     sync.Mutex
 	claims map[ID]claim
 	order  []ID // by time, oldest first
+	// released are the attempts that were released without a claim, and when. Their claims
+	// may still arrive.
+	released      map[uint64]time.Time
+	releasedOrder []uint64 // by time, oldest first
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{claims: make(map[ID]claim)}
+	return &Table{claims: make(map[ID]claim), released: make(map[uint64]time.Time)}
 }
 
 // Claim claims a key for an attempt. It returns false if another attempt has
-// claimed the key.
+// claimed the key, or the attempt has been released.
 func (t *Table) Claim(now time.Time, id ID, attempt uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	if _, ok := t.released[attempt]; ok {
+		return false
+	}
 	if c, ok := t.claims[id]; ok {
 		return c.attempt == attempt
 	}
@@ -65,12 +72,19 @@
 	return true
 }
 
-// Release deletes the claim of an attempt that did not run.
-func (t *Table) Release(id ID, attempt uint64) {
+// Release deletes the claim of an attempt that did not run. If there is none, it keeps the
+// attempt from claiming a key later.
+func (t *Table) Release(now time.Time, id ID, attempt uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
 	if c, ok := t.claims[id]; ok && c.attempt == attempt {
 		delete(t.claims, id)
+		return
+	}
+	if _, ok := t.released[attempt]; !ok {
+		t.released[attempt] = now
+		t.releasedOrder = append(t.releasedOrder, attempt)
 	}
 }
 
@@ -88,11 +102,15 @@
 	return len(t.claims)
 }
 
-// expire deletes the claims that are older than Lifetime. A key that was released
-// and claimed again is in the order twice, and its claim has the time of the second
-// entry. While it has not expired, its first entry keeps expire from reaching the
+// expire deletes the claims and the released attempts that are older than Lifetime. A key
+// that was released and claimed again is in the order twice, and its claim has the time of
+// the second entry. While it has not expired, its first entry keeps expire from reaching the
 // entries behind it, whose claims may then be kept longer than Lifetime.
 func (t *Table) expire(now time.Time) {
+	for len(t.releasedOrder) > 0 && now.Sub(t.released[t.releasedOrder[0]]) >= Lifetime {
+		delete(t.released, t.releasedOrder[0])
+		t.releasedOrder = t.releasedOrder[1:]
+	}
 	for len(t.order) > 0 {
 		c, ok := t.claims[t.order[0]]
 		if ok && now.Sub(c.at) < Lifetime {
