--- a/internal/cmds/soak/bodytally.go
+++ b/internal/cmds/soak/bodytally.go
@@ -17,7 +17,8 @@
 	bytes       int64
 	// early counts the answers that upstreams gave before they had read the body, by status.
 	early map[int]int
-	// refusedAndSent counts the requests that an upstream refused early and another one read.
+	// refusedAndSent counts the requests that an upstream refused early and of which another
+	// one got the body, too.
 	refusedAndSent int
 	// differing counts the requests of which an upstream read other bytes than the
 	// caller's, or another number of bytes as the whole body.
@@ -35,7 +36,8 @@
 	for i := range obs.Outcomes {
 		sent[obs.Outcomes[i].ID] = obs.Outcomes[i].BodyBytes
 	}
-	differing, refused, others := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	differing, refused := make(map[string]bool), make(map[string]bool)
+	readers := make(map[string]map[string]bool) // instances by request
 	for _, r := range obs.Records {
 		if r.Kind != mimic.Read {
 			continue
@@ -45,14 +47,16 @@
 		}
 		if r.Early == http.StatusServiceUnavailable {
 			refused[r.ID] = true
-		} else {
-			others[r.ID] = true
 		}
+		if readers[r.ID] == nil {
+			readers[r.ID] = make(map[string]bool)
+		}
+		readers[r.ID][r.Instance] = true
 		t.addRecord(&r)
 	}
 	t.differing = len(differing)
 	for id := range refused {
-		if others[id] {
+		if len(readers[id]) > 1 {
 			t.refusedAndSent++
 		}
 	}
--- a/internal/cmds/soak/main.go
+++ b/internal/cmds/soak/main.go
@@ -111,7 +111,9 @@
 			served++
 		}
 	}
-	newTally(observations).print(options.Out)
+	if _, ok := options.Variant.(bodiesRun); !ok {
+		newTally(observations).print(options.Out)
+	}
 	newBodyTally(observations).print(options.Out)
 	recovery := ""
 	if options.Variant == nil {
--- a/internal/cmds/soak/uploads.go
+++ b/internal/cmds/soak/uploads.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -115,6 +117,10 @@
 	o.Response, o.Partial, open, o.Err = u.receive()
 	o.Done = time.Now()
 	close(u.ended)
+	if o.Err != nil && !o.Done.Before(now.Add(callerTimeout)) {
+		// The node, too, ends a response at the caller's deadline.
+		o.Err = errors.Join(os.ErrDeadlineExceeded, o.Err)
+	}
 	if o.Err != nil {
 		// Ends the sending of the body, too.
 		_ = u.conn.Close()
