Forward what was read before a reset

Cause: a node closes a connection with unread data after an early answer to a chunked body, so that the kernel resets it. The forwarder, whose next write then failed, reset the other side at once and dropped the answer that it had read. The soak counted such requests as cut although no fault affected them.

Change: after a failed write the forwarder waits for the end of the opposite direction before it resets the connection. Resets that are injected act at once, as before.

That a node resets the connection, and does not read on for discardTime, is not changed by it; on a link that loses packets the answer could still be lost.

--- a/internal/fakes/proxy/proxy.go
+++ b/internal/fakes/proxy/proxy.go
@@ -172,8 +172,13 @@
 		p.mu.Unlock()
 	}()
 	var directions conc.WaitGroup
-	directions.Go(func() { p.forward(ctx, c, c.target, c.client, func(f Fault) bool { return f.StallToTarget }) })
-	directions.Go(func() { p.forward(ctx, c, c.client, c.target, func(f Fault) bool { return f.StallFromTarget }) })
+	toTarget, toClient := make(chan struct{}), make(chan struct{})
+	directions.Go(func() {
+		p.forward(ctx, c, direction{to: c.target, from: c.client, ended: toTarget, opposite: toClient, stalls: func(f Fault) bool { return f.StallToTarget }})
+	})
+	directions.Go(func() {
+		p.forward(ctx, c, direction{to: c.client, from: c.target, ended: toClient, opposite: toTarget, stalls: func(f Fault) bool { return f.StallFromTarget }})
+	})
 	directions.Wait()
 }
 
@@ -188,29 +193,43 @@
 	readAt time.Time
 }
 
+// direction is one direction of a connection.
+type direction struct {
+	from, to *net.TCPConn
+	ended    chan struct{}    // closed when no more bytes are forwarded
+	opposite <-chan struct{}  // ended of the opposite direction
+	stalls   func(Fault) bool // reports whether a fault holds back this direction
+}
+
 // forward copies bytes in one direction until the sender ends it. An error resets the
-// connection. stalls reports whether a fault holds back this direction.
-func (p *Proxy) forward(ctx context.Context, c *conn, to, from *net.TCPConn, stalls func(Fault) bool) {
+// connection.
+func (p *Proxy) forward(ctx context.Context, c *conn, d direction) {
+	var once sync.Once
+	end := func() { once.Do(func() { close(d.ended) }) }
+	defer end()
 	ctx, cancel := context.WithCancel(ctx)
 	blocks := make(chan block, maxBlocks)
 	var reader conc.WaitGroup
 	defer reader.Wait()
 	defer cancel()
-	reader.Go(func() { readBlocks(ctx, from, blocks) })
+	reader.Go(func() { readBlocks(ctx, d.from, blocks) })
 	for b := range blocks {
-		if err := p.await(ctx, c, b.readAt, stalls); err != nil {
+		if err := p.await(ctx, c, b.readAt, d.stalls); err != nil {
 			c.reset()
 			return
 		}
 		if len(b.data) > 0 {
-			if _, err := to.Write(b.data); err != nil {
+			if _, err := d.to.Write(b.data); err != nil {
+				// What the receiver sent before it reset the connection still arrives.
+				end()
+				<-d.opposite
 				c.reset()
 				return
 			}
 		}
 		switch {
 		case errors.Is(b.err, io.EOF):
-			_ = to.CloseWrite()
+			_ = d.to.CloseWrite()
 		case b.err != nil:
 			c.reset()
 		}
--- a/internal/fakes/proxy/proxy_test.go
+++ b/internal/fakes/proxy/proxy_test.go
@@ -16,6 +16,13 @@
 
 // newEchoProxy returns a proxy in front of a server that sends back all bytes.
 func newEchoProxy(t *testing.T) *Proxy {
+	t.Helper()
+	return newProxy(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+}
+
+// newProxy returns a proxy in front of a server that serves each connection with a function
+// and then closes it.
+func newProxy(t *testing.T, serve func(c net.Conn)) *Proxy {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -27,7 +34,7 @@
 			}
 			go func() {
 				defer c.Close()
-				_, _ = io.Copy(c, c)
+				serve(c)
 			}()
 		}
 	}()
@@ -96,3 +103,31 @@
 	err := echo(t, fresh, longWait)
 	assert.Check(t, errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF), "%v", err)
 }
+
+// TestResetAfterAnswer guards against an answer that is lost on its way because the server
+// resets the connection after it, as it does if it closes the connection while the client
+// still sends. Without a proxy, the answer arrives.
+func TestResetAfterAnswer(t *testing.T) {
+	const answerBytes = 20000
+	p := newProxy(t, func(c net.Conn) {
+		_, _ = io.ReadFull(c, make([]byte, 50000))
+		_, _ = c.Write(make([]byte, answerBytes))
+	})
+	for range 300 {
+		c := dial(t, p)
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			for part := make([]byte, 8000); ; {
+				if _, err := c.Write(part); err != nil {
+					return
+				}
+			}
+		}()
+		// The error is that of the reset.
+		n, _ := io.Copy(io.Discard, c)
+		assert.Equal(t, n, int64(answerBytes))
+		assert.NilError(t, c.Close())
+		<-sent
+	}
+}
