Free the slot of a call whose body never begins

A node that asked for a chunked body waited for its first chunk without a time limit. If the node that sends it was paused then, or its connection failed without a word, the slot at the gate stayed taken after the deadline of the call, until the connection ended.

The wait is now a read of the upload like all others, within Idle and the deadline of the call; its error cancels the call.

Found by a review that had not seen the work.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -77,8 +77,11 @@
 	}
 	if req.Header.Get("Expect") != "" {
 		hb.sendContinue()
-		// An empty read waits for the first chunk of a body without a length.
-		_, _ = req.Body.Read(nil)
+		if body != nil {
+			// An empty read waits for the first chunk of a body without a length. An
+			// error cancels the call.
+			_, _ = body.Read(nil)
+		}
 	}
 	pending, left, refusal := lc.call(request)
 	hb.stop()
