Serve the next request behind a refusal of a request with a body

A caller whose long request was refused while its body was read, and who sent the rest and then another request on the connection, got 504 for that one: 'the caller left before the request ran'.

Cause: a read of the body is ended by a read deadline. The HTTP server takes it for the caller's leave and ends the context of the connection, but then reads the rest of the body and keeps the connection. The same context holds for all later requests on it. Between nodes it is the same. What belongs to the next request of a connection was ended with the one before.

The refusal of a request of whose body a part has been read now closes its connection, and a deadline that was set when the end of the body had just been read is taken back.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -45,6 +45,7 @@
 	offset    atomic.Int64 // bytes read so far
 	request   *http.Request
 
+	began    atomic.Bool // a read has begun
 	complete atomic.Bool // the body was read to its end
 	stopping atomic.Bool // stop was called
 
@@ -87,11 +88,21 @@
 	_ = u.control.EnableFullDuplex()
 }
 
+// beginRefusal prepares the refusal of the request whose body is u, which may be nil. If a part
+// of the body has been read, stop may end a read by a deadline, which the HTTP server takes for
+// the caller's leave: requests that follow on the connection would not be served.
+func (u *upload) beginRefusal(header http.Header) {
+	if u != nil && u.began.Load() && !u.complete.Load() {
+		header["Connection"] = []string{"close"}
+	}
+}
+
 // Read implements io.Reader. It limits the time of each read and the total size, and
 // cancels the call when the caller's body is cut or too large.
 func (u *upload) Read(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.began.Store(true)
 	switch {
 	case u.closed:
 		return 0, errBodyClosed
@@ -131,14 +142,18 @@
 // was not read completely, the server reads on for discardTime at most.
 func (u *upload) stop() {
 	u.stopping.Store(true)
-	if !u.complete.Load() {
+	interrupts := u.began.Load() && !u.complete.Load()
+	if interrupts {
 		_ = u.control.SetReadDeadline(time.Unix(1, 0))
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closed = true
-	if !u.complete.Load() {
+	switch {
+	case !u.complete.Load():
 		_ = u.control.SetReadDeadline(time.Now().Add(discardTime))
+	case interrupts: // and the body was read to its end meanwhile
+		_ = u.control.SetReadDeadline(time.Time{})
 	}
 }
 
--- a/internal/request/relay/nextrequest_test.go
+++ b/internal/request/relay/nextrequest_test.go
@@ -20,7 +20,15 @@
 // which the HTTP server takes for the caller's leave: it ends the context of the connection,
 // and reads the rest of the body and keeps the connection nevertheless.
 func TestNextRequestAfterRefusal(t *testing.T) {
-	const length, first = 100 << 10, 20 << 10
+	t.Run("upload refused by the upstream", func(t *testing.T) { nextAfterRefusal(t, 100<<10, 20<<10, "", http.StatusServiceUnavailable) })
+	t.Run("short body too late", func(t *testing.T) {
+		nextAfterRefusal(t, 1000, 500, headerTimeout+": 20\r\n", http.StatusGatewayTimeout)
+	})
+}
+
+// nextAfterRefusal sends a request with a body of a length and with a header, and the rest of
+// the body behind the first bytes only when the request has been refused with a status.
+func nextAfterRefusal(t *testing.T, length, first int, header string, status int) {
 	upstream := serveConns(t, func(c net.Conn) {
 		defer c.Close()
 		request, err := http.ReadRequest(bufio.NewReader(c))
@@ -50,7 +58,7 @@
 	assert.NilError(t, err)
 	defer c.Close()
 	reader := bufio.NewReader(c)
-	_, err = fmt.Fprintf(c, "POST /ledger/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", length)
+	_, err = fmt.Fprintf(c, "POST /ledger/x HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n", header, length)
 	assert.NilError(t, err)
 	_, err = c.Write(make([]byte, first))
 	assert.NilError(t, err)
@@ -61,7 +69,7 @@
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, response.StatusCode, status)
 	if response.Close {
 		return
 	}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -86,6 +86,7 @@
 	pending, left, refusal := lc.call(request)
 	hb.stop()
 	if refusal != nil {
+		body.beginRefusal(w.Header())
 		r.refusePeer(w, c, left, refusal)
 		return
 	}
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -92,6 +92,7 @@
 // refuse writes a refusal as the response, and releases the claim of the
 // idempotency key if the call did not run.
 func (s *session) refuse(refusal *refuse.Refusal) (*refuse.Refusal, int) {
+	s.upload.beginRefusal(s.writer.Header())
 	if s.release != nil && refusal.Ran == refuse.NotRun {
 		s.release()
 	}
