Do not grant a burst twice after a restart of a first holder

Now a process that finds itself recorded as the holder of a first term, without having written the record, asks the other candidates whether they have heard of an earlier process that held it. If one has, or if not all answer within 600 ms, it begins like a successor that finds the rate lent. If all answer that they have not, they were started again too, and it begins with full buckets, as before. Fields are only added to the request for a promise and its answer; a candidate of an earlier build answers without them, and so the holder begins like a successor.

--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -92,6 +92,8 @@
 	// createAfter is the time, by shard, before which the node does not create the
 	// allocator. Only the goroutine that maintains a shard uses its element.
 	createAfter []time.Time
+	restarts    []restart     // by shard, each only used by the goroutine that maintains it
+	process     uint64        // increases with each process of the node
 	wakeLoop    chan struct{} // begins a round of the lease loop
 	fastRounds  atomic.Int64  // remaining fast rounds of the lease loop
 	workers     conc.WaitGroup
@@ -103,6 +105,8 @@
 	c := &Client{Options: options, asks: new(expvar.Map).Init(), cache: NewCache(now), wakeLoop: make(chan struct{}, 1), zoneIndex: slices.Index(options.Zones, options.Zone)}
 	c.busy = make([]atomic.Bool, options.Shards)
 	c.createAfter = make([]time.Time, options.Shards)
+	c.restarts = make([]restart, options.Shards)
+	c.process = uint64(now.UnixNano())
 	for range options.Shards {
 		c.leases = append(c.leases, NewLease(now, options.Self))
 	}
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -314,6 +314,10 @@
 		f.isolate(f.isolated, on)
 	case "allocator-rejoins":
 		f.isolate(f.isolated, false)
+	case "allocator-restarts":
+		if on {
+			f.restart(ctx, f.holder("zone0"))
+		}
 	case "allocator-leaves":
 		if on {
 			holder := f.holder("zone0")
@@ -432,6 +436,24 @@
 	f.nodes = slices.DeleteFunc(slices.Clone(f.nodes), func(other *testNode) bool { return other == n })
 }
 
+// restart kills nodes and starts others at their addresses.
+func (f *fleet) restart(ctx context.Context, nodes ...*testNode) {
+	for _, n := range nodes {
+		f.kill(n)
+	}
+	for _, n := range nodes {
+		started := f.newNode(ctx, int(n.address.Addr().As4()[3])-1, n.zone)
+		for _, other := range f.nodes {
+			if started.agent.Join(ctx, other.address) == nil {
+				break
+			}
+		}
+		f.mu.Lock()
+		f.nodes = append(slices.Clone(f.nodes), started)
+		f.mu.Unlock()
+	}
+}
+
 // cutZone cuts or restores the connections between a zone and all others.
 func (f *fleet) cutZone(zone string, on bool) {
 	for _, a := range f.nodes {
--- a/internal/process/quota/lease.go
+++ b/internal/process/quota/lease.go
@@ -37,6 +37,7 @@
 	proposal          *proposal
 	record            kinds.Allocator
 	releasedTerm      uint64 // last term that the node gave up
+	heard             heardHolder
 	loans             loanLease
 	missedAnswers     int       // questions in a row without a positive answer of the holder
 	handover          *Handover // state from the holder of an earlier term
@@ -64,6 +65,7 @@
 	defer l.mu.Unlock()
 	l.record = *record
 	l.version = version
+	created := l.proposal != nil && l.proposal.expected == 0
 	if l.proposal != nil && l.proposal.expected != version {
 		l.proposal = nil
 	}
@@ -72,7 +74,7 @@
 		return
 	}
 	if l.allocator == nil || l.allocator.Term() != record.Term {
-		l.allocator = l.startTerm(received, record)
+		l.allocator = l.startTerm(received, record, created)
 	}
 	if sent.After(l.confirmed) {
 		l.confirmed = sent
@@ -161,6 +163,7 @@
 	if l.allocator != nil || known.Term != term || !slices.Contains(known.Candidates, l.self) {
 		return false
 	}
+	l.heard.hear(term)
 	l.promisedUntil = now.Add(LeaseDuration)
 	if outage {
 		l.outagePromised = now
@@ -261,8 +264,10 @@
 
 // startTerm returns the allocator of a term that begins. If the holder of the
 // previous term handed over its state, it has stopped granting tokens, so the
-// allocator starts at once.
-func (l *Lease) startTerm(received time.Time, record *kinds.Allocator) *Allocator {
+// allocator starts at once. So does that of a first term whose record this process
+// created, or of which no other candidate has heard. In any other first term, an earlier
+// process of the node may just have granted tokens.
+func (l *Lease) startTerm(received time.Time, record *kinds.Allocator, created bool) *Allocator {
 	term := record.Term
 	l.outageAt = time.Time{}
 	if state := l.handover; state != nil && state.Term+1 == term {
@@ -271,12 +276,14 @@
 		}
 		return NewAllocatorFromHandover(received, term, state)
 	}
-	a := NewAllocator(term, l.startTime(received, term))
-	if term > 1 {
-		l.outageAt = l.outagePromised
+	if term == 1 && (created || l.heard.byNobody) {
+		l.heard.byNobody = false
+		return NewAllocator(term, received)
 	}
-	if l.mayBeLent(received, record) {
-		a.firstTerm = false
+	l.outageAt = l.outagePromised
+	a := NewAllocator(term, l.startTime(received))
+	a.firstTerm = false
+	if term == 1 || l.mayBeLent(received, record) {
 		a.reserveUntil = a.start.Add(GrantTTL)
 	}
 	return a
@@ -284,11 +291,8 @@
 
 // startTime returns the time from which the node grants tokens in a term that
 // begins without a handover: LeaseDuration after the record was received, or
-// when the node's promise ends if that is later. The first term starts at once.
-func (l *Lease) startTime(received time.Time, term uint64) time.Time {
-	if term == 1 {
-		return received
-	}
+// when the node's promise ends if that is later.
+func (l *Lease) startTime(received time.Time) time.Time {
 	if start := received.Add(LeaseDuration); start.After(l.promisedUntil) {
 		return start
 	}
--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -171,7 +171,9 @@
 	record, known := c.Config.Snapshot().Allocator(c.Zone, shard)
 	switch {
 	case known && record.Holder == c.Self:
-		c.confirm(ctx, shard, lease)
+		if c.maintainRestart(ctx, now, shard, lease, &record) {
+			c.confirm(ctx, shard, lease)
+		}
 	case !known && c.mayCreate(now, shard):
 		first := kinds.Allocator{Candidates: []netip.AddrPort{c.Self}, Holder: c.Self, Shard: shard, Term: 1, Zone: c.Zone}
 		if !c.writeRecord(ctx, shard, lease, &first, 0) {
@@ -299,6 +301,9 @@
 	var answer promised
 	question := promise{ReadsLends: true, Shard: record.Shard, Term: record.Term, Zone: record.Zone}
 	err := c.Mesh.Call(callCtx, record.Holder, wire.KindHolding, question, &answer)
+	if err == nil && answer.OK {
+		lease.HearHolder(record.Term)
+	}
 	missed := lease.CountMissedAnswers(err == nil && answer.OK)
 	if missed >= maxMissedAnswers*c.takeoverPosition(record) && lease.MayTakeOver(now, record) {
 		c.takeOver(ctx, lease, record)
@@ -362,6 +367,9 @@
 	// Outage says that the holder continues although the platform does not
 	// answer.
 	Outage bool `cbor:",omitempty"`
+	// Process identifies the process of a holder that asks whether the candidate has heard
+	// of an earlier one, 0 in other requests. It asks for no promise.
+	Process uint64 `cbor:",omitempty"`
 	// ReadsLends says that a candidate holds back the rate after a takeover if the record
 	// says that the holder lends. Nodes of earlier versions neither send nor read it.
 	ReadsLends bool `cbor:",omitempty"`
@@ -381,6 +389,8 @@
 // promised is the answer to a promise or a Handover.
 type promised struct {
 	OK bool
+	// Unheard says that the candidate has heard of no earlier process of the holder.
+	Unheard bool `cbor:",omitempty"`
 }
 
 // Check implements wire.Checker.
@@ -434,6 +444,9 @@
 	if p.Zone != c.Zone || p.Shard >= len(c.leases) {
 		return promised{}, nil
 	}
+	if p.Process != 0 {
+		return promised{Unheard: c.leases[p.Shard].HearRestart(p.Term, p.Process)}, nil
+	}
 	record, known := c.Config.Snapshot().Allocator(p.Zone, p.Shard)
 	if !known {
 		return promised{}, nil
