Count a restarted holder as known where a later term was heard of

A store restored from an older copy may name the holder of a first term again while a later term goes on. A candidate that had heard of the later term only answered that it had heard of no earlier process, and the holder of the first would have begun with full buckets. Candidates now keep the last term that they heard of or held.

--- a/internal/process/quota/lease.go
+++ b/internal/process/quota/lease.go
@@ -269,6 +269,7 @@
 // process of the node may just have granted tokens.
 func (l *Lease) startTerm(received time.Time, record *kinds.Allocator, created bool) *Allocator {
 	term := record.Term
+	l.heard.hear(term)
 	l.outageAt = time.Time{}
 	if state := l.handover; state != nil && state.Term+1 == term {
 		if state.OutageAge > 0 {
--- a/internal/process/quota/restart.go
+++ b/internal/process/quota/restart.go
@@ -30,9 +30,10 @@
 	term     uint64
 }
 
-// hear records that the holder of a term holds it.
+// hear records that the holder of a term holds it. It ignores a term before the last one,
+// as a store restored from an older copy names such.
 func (h *heardHolder) hear(term uint64) {
-	if h.term != term {
+	if h.term < term {
 		h.process, h.term = 0, term
 	}
 }
@@ -45,14 +46,14 @@
 }
 
 // HearRestart records that a process of the holder of a term starts. It reports whether the
-// node has heard of no other process that held the term.
+// node has heard of no other process that held this term or a later one.
 func (l *Lease) HearRestart(term, process uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heard.term != term {
+	if l.heard.term < term {
 		l.heard.process, l.heard.term = process, term
 	}
-	return l.heard.process == process
+	return l.heard.term == term && l.heard.process == process
 }
 
 // RestartUnheard records that no other candidate has heard of an earlier process of this
