--- a/internal/request/relay/manybodies_test.go
+++ b/internal/request/relay/manybodies_test.go
@@ -201,7 +201,7 @@
 	body := numberedBody(number, length)
 	chunked := rand.N(2) == 0
 	expects := rand.N(4) == 0
-	method := []string{"POST", "PUT", "PUT"}[rand.N(3)]
+	method := []string{"POST", "PUT", "PUT", "DELETE"}[rand.N(4)]
 	proto := "HTTP/1.1"
 	if !chunked && rand.N(8) == 0 {
 		proto = "HTTP/1.0"
