--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -124,6 +124,9 @@
 		return nil
 	}
 	smallBody, err := readSmallBody(u, length)
+	if err != nil {
+		u.beginRefusal(s.writer.Header())
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(s.deadline) {
 		return refuse.New(refuse.DeadlineExceeded, 0, "the deadline passed before the whole body came")
 	}
