Have the first attempt of a test meet its refusal each time

TestBodyOfNextAttempt left it to the balancer which node comes first, so that a part of its requests had one attempt, and it did not ask whether a second attempt was made. The second node is now in another zone, and where the first attempt reads nothing before the next one by construction, all 20 requests must complete.

--- a/internal/request/relay/nextattempt_test.go
+++ b/internal/request/relay/nextattempt_test.go
@@ -41,7 +41,7 @@
 // is told, and what the first attempt meets.
 func runNextAttempt(t *testing.T, record []string) {
 	const requests = 20
-	other, shifted := 0, 0
+	other, shifted, completed := 0, 0, 0
 	for range requests {
 		r := newBodyReader(t, 100<<10)
 		entry := newNextAttemptEntry(t, r, record[3])
@@ -49,19 +49,27 @@
 		if !r.intact(complete) {
 			other++
 		}
+		if complete {
+			completed++
+		}
 		if entry.Stats.Bodies.Get("Shifted") != nil {
 			shifted++
 		}
 	}
+	if record[3] == "upstream" || record[3] == "connection" {
+		assert.Equal(t, completed, requests, "requests whose first attempt has read nothing must be sent again")
+	}
 	assert.Check(t, other == 0 && shifted == 0, "%d of %d bodies were not the caller's; %d attempts did not begin at the start of the body", other, requests, shifted)
 }
 
 // newNextAttemptEntry returns an entry node whose first attempt to send a request is refused
-// or fails in the given way unless r gets it first, and whose next one goes to r.
+// or fails in the given way, and whose next one goes to r.
 func newNextAttemptEntry(t *testing.T, r *bodyReader, first string) *Relay {
 	t.Helper()
 	self := netip.MustParseAddrPort("127.0.0.1:1")
-	records := []member.Record{readyRecord(serveConns(t, r.serve))}
+	second := readyRecord(serveConns(t, r.serve))
+	second.Zone = "other zone" // chosen last
+	records := []member.Record{second}
 	dialer := newLateDialer(t)
 	switch first {
 	case "node":
--- a/internal/request/relay/nextrequest_test.go
+++ b/internal/request/relay/nextrequest_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wasabibend/wasabibend/internal/conn/conns"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 )
 
@@ -88,3 +89,15 @@
 	defer response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusOK, "%v", response.Header)
 }
+
+// serveHTTP serves connections as a node does.
+func serveHTTP(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	l, err := conns.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	tracker := conns.NewTracker(100000, time.Minute)
+	server := &http.Server{ConnContext: CallerContext, Handler: handler, ConnState: func(c net.Conn, state http.ConnState) { tracker.SetState(time.Now(), c, state) }}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
