--- a/internal/cmds/soak/soak_test.go
+++ b/internal/cmds/soak/soak_test.go
@@ -33,7 +33,7 @@
 			resting.Callers, resting.EagerFraction = 40, 0
 			violations, err := Soak(context.Background(), seed, Options{
 				Dir: t.TempDir(), Events: 8, Hosts: 6, FaultPeriod: 6 * time.Second, Out: t.Output(),
-				ProgramPath: programPath, Resting: resting, Uploading: 1,
+				ProgramPath: programPath, Resting: resting, Uploading: 3,
 			})
 			assert.NilError(t, err)
 			assert.Equal(t, len(violations), 0, "%v", violations)
