--- a/internal/process/quota/allocator.go
+++ b/internal/process/quota/allocator.go
@@ -89,13 +89,7 @@
 	// Below says that the node has used or discarded all immediate tokens of
 	// its Asks with a lower NowSeq.
 	Below uint64 `cbor:",omitempty"`
-	// Borrowed is the BorrowSeq of the Ask whose loan the node uses. It uses none of
-	// earlier Asks any more.
-	Borrowed uint64 `cbor:",omitempty"`
-	// BorrowSeq increases with each Ask of a node to borrow a part of the rate. It is 0 in
-	// other Asks. Nodes of earlier versions ignore it and lend nothing.
-	BorrowSeq uint64 `cbor:",omitempty"`
-	Key       Key
+	Key   Key
 	// Held is the number of unused tokens that the node holds from earlier
 	// grants of the allocator. It is ignored if Seq is 0.
 	Held int `cbor:",omitempty"`
@@ -107,15 +101,11 @@
 	// Patience is how long the node waits for the answer, 0 for askTimeout. Nodes of
 	// earlier versions ignore it.
 	Patience time.Duration `cbor:",omitempty"`
-	// Rate is the rate that the node wants to borrow, in tokens per second.
-	Rate float64 `cbor:",omitempty"`
 	// Seq increases with each Ask of a node for tokens to hold. It is 0 in
 	// other Asks.
 	Seq uint64 `cbor:",omitempty"`
 	// Shard is the shard of the key's customer.
 	Shard int
-	// Trip is how long answers take, in an Ask to borrow.
-	Trip time.Duration `cbor:",omitempty"`
 	// Want is the number of tokens to hold in addition to Held.
 	Want int `cbor:",omitempty"`
 	// Zone is the availability zone of the allocator.
@@ -124,7 +114,7 @@
 
 // Check implements wire.Checker.
 func (a *Ask) Check() error {
-	if a.Held < 0 || a.Now < 0 || a.Want < 0 || a.Now+a.Want > maxAskTokens || a.Patience < 0 || a.Shard < 0 || a.Trip < 0 || !(a.Rate >= 0 && a.Rate <= maxAskTokens) || a.Zone == "" || a.Key.Route == "" {
+	if a.Held < 0 || a.Now < 0 || a.Want < 0 || a.Now+a.Want > maxAskTokens || a.Patience < 0 || a.Shard < 0 || a.Zone == "" || a.Key.Route == "" {
 		return trace.BadParameter("Ask: want a key, a zone, a shard and a number of tokens")
 	}
 	return nil
@@ -136,9 +126,6 @@
 	Held int `cbor:",omitempty"`
 	// Now is the number of immediate tokens granted.
 	Now int `cbor:",omitempty"`
-	// Rate is the part of the allocator's rate that the node borrows, in tokens per second.
-	// It replaces what the node borrowed before. 0 changes nothing.
-	Rate float64 `cbor:",omitempty"`
 	// Term is the allocator's term.
 	Term uint64
 	// Valid is how long the allocator counts the immediate tokens as unused, 0 for
@@ -151,7 +138,7 @@
 
 // Check implements wire.Checker.
 func (g *Grant) Check() error {
-	if g.Held < 0 || g.Now < 0 || !(g.Rate >= 0) || g.Valid < 0 || g.Wait < 0 {
+	if g.Held < 0 || g.Now < 0 || g.Valid < 0 || g.Wait < 0 {
 		return trace.BadParameter("Grant: want no negative numbers")
 	}
 	return nil
@@ -172,13 +159,8 @@
 	mu        sync.Mutex
 	buckets   map[Key]*bucket
 	firstTerm bool // no earlier holder can have granted tokens
-	// lendsUntil is the time from which on nodes may borrow no more.
-	lendsUntil   time.Time
-	loansEnd     time.Time // of the last loan
-	loansWanted  time.Time // last Ask for a loan
-	reserveUntil time.Time // the whole rate may be lent by an earlier holder until then
-	start        time.Time
-	term         uint64
+	start     time.Time
+	term      uint64
 }
 
 // NewAllocator returns the Allocator of a term. It grants tokens from start on,
@@ -213,7 +195,7 @@
 	// no room for the tokens that were due before.
 	b.refill(now)
 	b.applyReport(now, node, ask)
-	answer := Grant{Rate: a.answerLoan(now, b, node, ask), Term: a.term}
+	answer := Grant{Term: a.term}
 	answer.Now, answer.Valid = b.grantImmediate(now, node, ask)
 	if answer.Now < ask.Now {
 		answer.Wait = b.timeToNextToken()
@@ -246,19 +228,13 @@
 
 // newBucket returns the bucket of a key that is new in this term. After the
 // first term, it reserves the whole burst for tokens that the previous holder
-// may have granted, because it does not know how many there are, and the whole
-// rate while nodes may use loans of that holder.
+// may have granted, because it does not know how many there are.
 func (a *Allocator) newBucket(limit Limit) *bucket {
 	b := &bucket{grants: make(map[netip.AddrPort]*grant), limit: limit, immediate: newImmediateGrants(), slow: newImmediateGrants(), updated: a.start}
 	if a.firstTerm {
 		b.tokens = limit.Burst
 		return b
 	}
-	if a.reserveUntil.After(a.start) {
-		b.loans.add(&loan{expires: a.reserveUntil, rate: limit.Rate}, 0)
-		b.grants[netip.AddrPort{}] = &grant{expires: a.start.Add(GrantTTL), tokens: int(limit.Burst)}
-		return b
-	}
 	held := int(limit.Burst * maxHeldFraction)
 	b.grants[netip.AddrPort{}] = &grant{expires: a.start.Add(GrantTTL), tokens: held}
 	b.immediate.add(netip.AddrPort{}, immediateGrant{expires: a.start.Add(ImmediateGrantTTL), tokens: int(limit.Burst) - held})
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -16,7 +16,6 @@
 	limit          Limit
 	tokens         float64
 	immediate      immediateGrants
-	loans          loans
 	slow           immediateGrants // immediate tokens of nodes that wait longer than askTimeout
 	updated        time.Time       // last refill
 }
@@ -34,7 +33,6 @@
 func (b *bucket) applyReport(now time.Time, node netip.AddrPort, ask *Ask) {
 	b.immediate.settle(node, ask.Below)
 	b.slow.settle(node, ask.Below)
-	b.loans.confirm(node, ask.Borrowed)
 	if ask.Seq == 0 {
 		return
 	}
@@ -107,18 +105,13 @@
 		if unused > 0 {
 			until = earlier(now, b.nextExpiry())
 		}
-		b.tokens += b.rate() * until.Sub(b.updated).Seconds()
+		b.tokens += b.limit.Rate * until.Sub(b.updated).Seconds()
 		b.limitTokens(unused)
 		b.updated = until
 	}
 	b.limitTokens(b.unused(now))
 }
 
-// rate returns the rate at which tokens are added: what nodes do not borrow.
-func (b *bucket) rate() float64 {
-	return math.Max(b.limit.Rate-b.loans.rate, 0)
-}
-
 // limitTokens removes the tokens for which there is no room beside the given number of
 // unused ones.
 func (b *bucket) limitTokens(unused int) {
@@ -128,13 +121,12 @@
 // nextExpiry returns the first time after the last refill at which granted tokens may
 // expire. The caller must have called unused for the time of that refill.
 func (b *bucket) nextExpiry() time.Time {
-	next := earlier(b.heldSumExpires, b.loans.nextExpiry(b.heldSumExpires))
-	return earlier(next, earlier(b.immediate.nextExpiry(next), b.slow.nextExpiry(next)))
+	return earlier(b.heldSumExpires, earlier(b.immediate.nextExpiry(b.heldSumExpires), b.slow.nextExpiry(b.heldSumExpires)))
 }
 
 // unused returns the number of granted tokens that nodes may still use.
 func (b *bucket) unused(now time.Time) int {
-	return b.held(now) + b.immediate.unused(now) + b.slow.unused(now) + b.loans.unused(now)
+	return b.held(now) + b.immediate.unused(now) + b.slow.unused(now)
 }
 
 // held returns the number of tokens that nodes hold. It also removes grants
@@ -177,12 +169,8 @@
 	return b
 }
 
-// timeToNextToken returns the time until the bucket contains a whole token, limited to
-// maxEmptyTime, for which a node relies on it at most.
+// timeToNextToken returns the time until the bucket contains a whole token.
 func (b *bucket) timeToNextToken() time.Duration {
-	missing := 1 - b.tokens
-	if missing <= 0 {
-		return 0
-	}
-	return time.Duration(math.Min(missing/b.rate(), maxEmptyTime.Seconds()) * float64(time.Second))
+	missing := math.Max(1-b.tokens, 0)
+	return time.Duration(missing / b.limit.Rate * float64(time.Second))
 }
--- a/internal/process/quota/cache.go
+++ b/internal/process/quota/cache.go
@@ -52,7 +52,6 @@
 	expires       time.Time           // of the tokens
 	immediateAsks map[string][]uint64 // NowSeq of the Asks in flight, by availability zone
 	limit         Limit
-	loan          *borrowed
 	nextRetry     time.Time // of the next refused caller
 	term          uint64    // of the allocator that granted the tokens
 	tokens        int
@@ -67,30 +66,22 @@
 	return &Cache{entries: make(map[Key]*entry), seq: uint64(now.UnixNano())}
 }
 
-// Take uses a token that the node holds or that its loan has added. It returns
-// false if there is none that no other request waits for. It discards tokens
-// that have expired or that were granted under a different limit.
+// Take uses a token that the node holds. It returns false if the node holds
+// none. It discards tokens that have expired or that were granted under a
+// different limit.
 func (c *Cache) Take(now time.Time, key Key, limit Limit) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.entry(now, key)
 	e.demand += 1 / rateWindow.Seconds()
-	if e.limit != limit {
+	if !now.Before(e.expires) || e.limit != limit {
 		e.limit = limit
 		e.tokens = 0
-		e.loan.end()
 	}
-	if !now.Before(e.expires) {
-		e.tokens = 0
-	}
-	e.loan.refill(now)
-	switch {
-	case e.loan.waiting() == 0 && e.loan.take():
-	case e.tokens > 0:
-		e.tokens--
-	default:
+	if e.tokens == 0 {
 		return false
 	}
+	e.tokens--
 	e.admittedRate += 1 / rateWindow.Seconds()
 	return true
 }
@@ -218,13 +209,13 @@
 
 // PlanPrefetch adds the tokens to hold to an Ask. It returns false, and leaves
 // the Ask unchanged, if no more tokens are needed or another Ask for tokens to
-// hold is in flight or the node has a loan. Otherwise the caller must call ApplyGrant. The
-// answer is expected to take the time roundTrip.
+// hold is in flight. Otherwise the caller must call ApplyGrant. The answer is expected to
+// take the time roundTrip.
 func (c *Cache) PlanPrefetch(now time.Time, ask *Ask, roundTrip time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.entry(now, ask.Key)
-	if e.prefetching || e.demand < minPrefetchRate || e.loan.usable(now) {
+	if e.prefetching || e.demand < minPrefetchRate {
 		return false
 	}
 	if !now.Before(e.expires) {
@@ -268,7 +259,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, e := range c.entries {
-		if now.Sub(e.updated) >= entryRetention && !e.prefetching && e.waiters == 0 && e.loan.waiting() == 0 {
+		if now.Sub(e.updated) >= entryRetention && !e.prefetching && e.waiters == 0 {
 			delete(c.entries, key)
 		}
 	}
--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -92,8 +92,6 @@
 	// createAfter is the time, by shard, before which the node does not create the
 	// allocator. Only the goroutine that maintains a shard uses its element.
 	createAfter []time.Time
-	restarts    []restart     // by shard, each only used by the goroutine that maintains it
-	process     uint64        // increases with each process of the node
 	wakeLoop    chan struct{} // begins a round of the lease loop
 	fastRounds  atomic.Int64  // remaining fast rounds of the lease loop
 	workers     conc.WaitGroup
@@ -105,8 +103,6 @@
 	c := &Client{Options: options, asks: new(expvar.Map).Init(), cache: NewCache(now), wakeLoop: make(chan struct{}, 1), zoneIndex: slices.Index(options.Zones, options.Zone)}
 	c.busy = make([]atomic.Bool, options.Shards)
 	c.createAfter = make([]time.Time, options.Shards)
-	c.restarts = make([]restart, options.Shards)
-	c.process = uint64(now.UnixNano())
 	for range options.Shards {
 		c.leases = append(c.leases, NewLease(now, options.Self))
 	}
@@ -123,17 +119,11 @@
 // is. If a token will be available within maxTokenWait, up to maxWaiters
 // requests of the key wait for it.
 func (c *Client) Admit(ctx context.Context, now time.Time, key Key, limit Limit, within time.Duration) *refuse.Refusal {
-	roundTrip := c.holderRoundTrip(&Ask{Shard: c.shardOf(key), Zone: c.Zone})
-	taken := c.cache.Take(now, key, limit)
-	c.borrow(ctx, now, key, limit, roundTrip)
-	if taken {
-		c.prefetch(ctx, now, key, roundTrip)
+	if c.cache.Take(now, key, limit) {
+		c.prefetch(ctx, now, key)
 		return nil
 	}
-	if c.awaitLoan(ctx, now, key, limit, roundTrip) {
-		return nil
-	}
-	refusal := c.askAll(ctx, time.Now(), key, limit)
+	refusal := c.askAll(ctx, now, key, limit)
 	if refusal != nil && refusal.RetryAfter <= maxTokenWait && c.cache.AddWaiter(key) {
 		defer c.cache.RemoveWaiter(key)
 		if pause.For(ctx, refusal.RetryAfter) == nil {
@@ -250,9 +240,9 @@
 
 // prefetch asks for tokens to hold in the background, if the demand requires
 // them.
-func (c *Client) prefetch(ctx context.Context, now time.Time, key Key, roundTrip time.Duration) {
+func (c *Client) prefetch(ctx context.Context, now time.Time, key Key) {
 	ask := Ask{Key: key, Shard: c.shardOf(key), Zone: c.Zone}
-	if !c.cache.PlanPrefetch(now, &ask, roundTrip) {
+	if !c.cache.PlanPrefetch(now, &ask, c.holderRoundTrip(&ask)) {
 		return
 	}
 	ctx = context.WithoutCancel(ctx)
--- a/internal/process/quota/failures_test.go
+++ b/internal/process/quota/failures_test.go
@@ -89,10 +89,8 @@
 
 // fleet contains the nodes and the platform of a case.
 type fleet struct {
-	copied   objapi.Copy      // of the platform's store, at first from before the allocators
-	duration time.Duration    // how long customers send requests
-	isolated *testNode        // nil for none
-	links    *unreliableLinks // of the nodes' clients, nil for those of net
+	copied   objapi.Copy // of the platform's store, at first from before the allocators
+	isolated *testNode   // nil for none
 	net      *mesh.Network
 	nodes    []*testNode
 	platform *objapi.Server
@@ -126,7 +124,7 @@
 	limit := Limit{Burst: number(4), Rate: number(3)}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	f := newFleet(ctx, t, zones, perZone, limit, nil)
+	f := newFleet(ctx, t, zones, perZone, limit)
 	time.Sleep(warmUp)
 	start := time.Now()
 	var work sync.WaitGroup
@@ -150,8 +148,8 @@
 	time.Sleep(drainTime)
 }
 
-func newFleet(ctx context.Context, t *testing.T, zones, perZone int, limit Limit, links *unreliableLinks) *fleet {
-	f := &fleet{admitted: make(map[string][]time.Time), demanded: make(map[string][]time.Time), duration: caseDuration, links: links, net: mesh.NewNetwork(usualDelay), platform: objapi.New()}
+func newFleet(ctx context.Context, t *testing.T, zones, perZone int, limit Limit) *fleet {
+	f := &fleet{admitted: make(map[string][]time.Time), demanded: make(map[string][]time.Time), net: mesh.NewNetwork(usualDelay), platform: objapi.New()}
 	row := rows.Default(testRoute, rows.AnyCustomer)
 	row.Rate, row.Burst = limit.Rate, limit.Burst
 	value, err := kinds.Encode(&kinds.RowObject{Row: row})
@@ -178,7 +176,7 @@
 	n := &testNode{address: address, cancel: cancel, config: snaps.NewHolder(), memory: f.platform.NewMemoryStore(), zone: zone}
 	n.table = member.NewTable(time.Now(), member.Record{Peers: address, Readiness: member.Ready, Service: "ledger", Zone: zone})
 	n.agent = member.NewAgent(endpoint, n.table, zerolog.Nop(), n.config)
-	n.client = NewClient(time.Now(), Options{Config: n.config, Limits: n.limitOf, Log: zerolog.Nop(), Mesh: f.links.endpoint(ctx, endpoint), Self: address, Shards: 1, Store: n.memory, Table: n.table, Zone: zone, Zones: f.zones})
+	n.client = NewClient(time.Now(), Options{Config: n.config, Limits: n.limitOf, Log: zerolog.Nop(), Mesh: endpoint, Self: address, Shards: 1, Store: n.memory, Table: n.table, Zone: zone, Zones: f.zones})
 	go n.agent.Run(ctx)
 	go n.client.Run(ctx)
 	go n.watchPlatform(ctx)
@@ -224,7 +222,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	start := time.Now()
 	var calls sync.WaitGroup
-	for time.Since(start) < f.duration {
+	for time.Since(start) < caseDuration {
 		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		n := f.pickNode(random, origin, time.Since(start))
 		calls.Go(func() { f.admit(ctx, n, customer, limit) })
@@ -285,16 +283,7 @@
 		f.setDelay(ms, on)
 		return
 	}
-	if f.links.setFault(name, on) {
-		return
-	}
 	switch name {
-	case "allocators-die":
-		for _, n := range f.nodes {
-			if on && len(n.client.HeldShards()) > 0 {
-				f.kill(n)
-			}
-		}
 	case "allocator-cut":
 		holder := f.holder("zone0")
 		holder.memory.SetUnreachable(on)
@@ -314,18 +303,10 @@
 		f.isolate(f.isolated, on)
 	case "allocator-rejoins":
 		f.isolate(f.isolated, false)
-	case "allocator-restarts":
-		if on {
-			f.restart(ctx, f.holder("zone0"))
-		}
 	case "allocator-leaves":
 		if on {
 			holder := f.holder("zone0")
-			allocator := holder.client.leases[0].allocator
 			holder.client.HandOver(context.Background())
-			if time.Now().Before(allocator.lendUntil(time.Time{})) {
-				panic("the allocator was handed over before its loans had ended")
-			}
 			f.kill(holder)
 		}
 	case "candidate-dies":
@@ -398,13 +379,6 @@
 	}
 }
 
-// hasHolder reports whether a node holds a zone's allocator, as far as it knows.
-func (f *fleet) hasHolder(zone string) bool {
-	return slices.ContainsFunc(f.nodes, func(n *testNode) bool {
-		return n.zone == zone && len(n.client.HeldShards()) > 0
-	})
-}
-
 // holder returns a node that holds a zone's allocator, as far as it knows.
 func (f *fleet) holder(zone string) *testNode {
 	i := slices.IndexFunc(f.nodes, func(n *testNode) bool {
@@ -436,24 +410,6 @@
 	f.nodes = slices.DeleteFunc(slices.Clone(f.nodes), func(other *testNode) bool { return other == n })
 }
 
-// restart kills nodes and starts others at their addresses.
-func (f *fleet) restart(ctx context.Context, nodes ...*testNode) {
-	for _, n := range nodes {
-		f.kill(n)
-	}
-	for _, n := range nodes {
-		started := f.newNode(ctx, int(n.address.Addr().As4()[3])-1, n.zone)
-		for _, other := range f.nodes {
-			if started.agent.Join(ctx, other.address) == nil {
-				break
-			}
-		}
-		f.mu.Lock()
-		f.nodes = append(slices.Clone(f.nodes), started)
-		f.mu.Unlock()
-	}
-}
-
 // cutZone cuts or restores the connections between a zone and all others.
 func (f *fleet) cutZone(zone string, on bool) {
 	for _, a := range f.nodes {
--- a/internal/process/quota/lease.go
+++ b/internal/process/quota/lease.go
@@ -36,9 +36,7 @@
 	takeoverAfter     time.Time  // the node does not try to take over before this time
 	proposal          *proposal
 	record            kinds.Allocator
-	releasedTerm      uint64 // last term that the node gave up
-	heard             heardHolder
-	loans             loanLease
+	releasedTerm      uint64    // last term that the node gave up
 	missedAnswers     int       // questions in a row without a positive answer of the holder
 	handover          *Handover // state from the holder of an earlier term
 	version           uint64    // of the record
@@ -54,7 +52,7 @@
 // process of the node made a promise in an outage just before, as promises are
 // not stored.
 func NewLease(now time.Time, self netip.AddrPort) *Lease {
-	return &Lease{self: self, loans: loanLease{acks: make(map[netip.AddrPort]time.Time)}, promisedUntil: now.Add(LeaseDuration), outagePromised: now, takeoverAfter: now.Add(LeaseDuration)}
+	return &Lease{self: self, promisedUntil: now.Add(LeaseDuration), outagePromised: now, takeoverAfter: now.Add(LeaseDuration)}
 }
 
 // Confirm applies a record that the node read from the platform's store or
@@ -65,7 +63,6 @@
 	defer l.mu.Unlock()
 	l.record = *record
 	l.version = version
-	created := l.proposal != nil && l.proposal.expected == 0
 	if l.proposal != nil && l.proposal.expected != version {
 		l.proposal = nil
 	}
@@ -74,24 +71,19 @@
 		return
 	}
 	if l.allocator == nil || l.allocator.Term() != record.Term {
-		l.allocator = l.startTerm(received, record, created)
+		l.allocator = l.startTerm(received, record.Term)
 	}
 	if sent.After(l.confirmed) {
 		l.confirmed = sent
 		l.confirmedInOutage = false
 	}
-	l.updateLending(received)
 }
 
 // Observe applies a record that may be out of date. It can only end the node's
-// term: if the record has a later term, or another holder of the same term. The
-// node remembers for a while that the record's holder lends.
-func (l *Lease) Observe(now time.Time, record *kinds.Allocator) {
+// term: if the record has a later term, or another holder of the same term.
+func (l *Lease) Observe(record *kinds.Allocator) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if record.Lends {
-		l.loans.lentUntil = now.Add(lendsMemory)
-	}
 	if l.allocator == nil {
 		return
 	}
@@ -108,9 +100,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.proposal = &proposal{candidates: candidates, expected: expected}
-	if l.allocator != nil {
-		l.allocator.lendUntil(time.Time{})
-	}
 }
 
 // OtherCandidates returns the term that the node holds, and all other nodes
@@ -123,18 +112,13 @@
 	if l.allocator == nil {
 		return 0, nil
 	}
-	return l.allocator.Term(), l.otherCandidates()
-}
-
-// otherCandidates returns the nodes of OtherCandidates. The caller holds the lock.
-func (l *Lease) otherCandidates() []netip.AddrPort {
 	peers := slices.Clone(l.record.Candidates)
 	if l.proposal != nil {
 		peers = append(peers, l.proposal.candidates...)
 	}
 	slices.SortFunc(peers, netip.AddrPort.Compare)
 	peers = slices.Compact(peers)
-	return slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return p == l.self })
+	return l.allocator.Term(), slices.DeleteFunc(peers, func(p netip.AddrPort) bool { return p == l.self })
 }
 
 // ConfirmByPromises records that all other candidates of a term promised not to
@@ -163,7 +147,6 @@
 	if l.allocator != nil || known.Term != term || !slices.Contains(known.Candidates, l.self) {
 		return false
 	}
-	l.heard.hear(term)
 	l.promisedUntil = now.Add(LeaseDuration)
 	if outage {
 		l.outagePromised = now
@@ -264,12 +247,8 @@
 
 // startTerm returns the allocator of a term that begins. If the holder of the
 // previous term handed over its state, it has stopped granting tokens, so the
-// allocator starts at once. So does that of a first term whose record this process
-// created, or of which no other candidate has heard. In any other first term, an earlier
-// process of the node may just have granted tokens.
-func (l *Lease) startTerm(received time.Time, record *kinds.Allocator, created bool) *Allocator {
-	term := record.Term
-	l.heard.hear(term)
+// allocator starts at once.
+func (l *Lease) startTerm(received time.Time, term uint64) *Allocator {
 	l.outageAt = time.Time{}
 	if state := l.handover; state != nil && state.Term+1 == term {
 		if state.OutageAge > 0 {
@@ -277,23 +256,19 @@
 		}
 		return NewAllocatorFromHandover(received, term, state)
 	}
-	if term == 1 && (created || l.heard.byNobody) {
-		l.heard.byNobody = false
-		return NewAllocator(term, received)
-	}
-	l.outageAt = l.outagePromised
-	a := NewAllocator(term, l.startTime(received))
-	a.firstTerm = false
-	if term == 1 || l.mayBeLent(received, record) {
-		a.reserveUntil = a.start.Add(GrantTTL)
+	if term > 1 {
+		l.outageAt = l.outagePromised
 	}
-	return a
+	return NewAllocator(term, l.startTime(received, term))
 }
 
 // startTime returns the time from which the node grants tokens in a term that
 // begins without a handover: LeaseDuration after the record was received, or
-// when the node's promise ends if that is later.
-func (l *Lease) startTime(received time.Time) time.Time {
+// when the node's promise ends if that is later. The first term starts at once.
+func (l *Lease) startTime(received time.Time, term uint64) time.Time {
+	if term == 1 {
+		return received
+	}
 	if start := received.Add(LeaseDuration); start.After(l.promisedUntil) {
 		return start
 	}
--- a/internal/process/quota/leaseloop.go
+++ b/internal/process/quota/leaseloop.go
@@ -77,12 +77,11 @@
 
 // HandOver hands the allocators that the node holds over to other nodes. While
 // the platform does not answer, the node continues to grant tokens, because no
-// other node could take over. It does so too until its loans have ended, as a
-// handover does not tell of them. HandOver returns early if the context ends while
+// other node could take over. HandOver returns early if the context ends while
 // it waits for the platform.
 func (c *Client) HandOver(ctx context.Context) {
 	for shard, lease := range c.leases {
-		for lease.Holds() && (c.hasLoans(lease) || !c.platformAnswers(ctx, shard)) {
+		for lease.Holds() && !c.platformAnswers(ctx, shard) {
 			if pause.For(ctx, outagePollInterval) != nil {
 				return
 			}
@@ -100,7 +99,6 @@
 		_ = c.Mesh.Call(callCtx, next, wire.KindHandover, state, &answer)
 		cancel()
 		record.Holder = next
-		record.Lends = false
 		record.Term++
 		if !slices.Contains(record.Candidates, next) {
 			record.Candidates = append(slices.Clone(record.Candidates), next)
@@ -110,7 +108,7 @@
 }
 
 // outagePollInterval is how often a leaving node checks whether the platform
-// answers again and its loans have ended.
+// answers again.
 const outagePollInterval = 300 * time.Millisecond
 
 // platformAnswers reports whether the platform returns a shard's record within
@@ -171,16 +169,14 @@
 	record, known := c.Config.Snapshot().Allocator(c.Zone, shard)
 	switch {
 	case known && record.Holder == c.Self:
-		if c.maintainRestart(ctx, now, shard, lease, &record) {
-			c.confirm(ctx, shard, lease)
-		}
+		c.confirm(ctx, shard, lease)
 	case !known && c.mayCreate(now, shard):
 		first := kinds.Allocator{Candidates: []netip.AddrPort{c.Self}, Holder: c.Self, Shard: shard, Term: 1, Zone: c.Zone}
 		if !c.writeRecord(ctx, shard, lease, &first, 0) {
 			c.createAfter[shard] = now.Add(createBackoff)
 		}
 	case known:
-		lease.Observe(now, &record)
+		lease.Observe(&record)
 		if slices.Contains(record.Candidates, c.Self) {
 			c.monitor(ctx, now, lease, &record)
 		}
@@ -190,14 +186,14 @@
 // confirm checks with the other candidates, or else with the platform, that the
 // node still holds the allocator. Reads from the platform are charged, while
 // promises only cost messages within the availability zone. The platform is
-// therefore asked only if the node has not begun its term yet, if the record has to
-// change, or if the candidates do not all promise or answer too slowly for that. If the
-// platform does not answer, it suffices that all other candidates promise, even if the
-// record has to change. So it does if the stored record cannot be read, which is then replaced.
+// therefore asked only if the node has not begun its term yet, or if the
+// candidates have to change, do not all promise or answer too slowly for that. If the platform does not
+// answer, it suffices that all other candidates promise, even if the candidates
+// have to change. So it does if the stored record cannot be read, which is then replaced.
 func (c *Client) confirm(ctx context.Context, shard int, lease *Lease) {
 	sent := time.Now()
 	term, peers := lease.OtherCandidates()
-	if term != 0 && !c.recordUnreadable(shard) && c.sameCandidates(shard, peers) && c.lendsAsRecorded(shard, lease) && c.allFast(peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
+	if term != 0 && !c.recordUnreadable(shard) && c.sameCandidates(shard, peers) && c.allFast(peers) && c.allPromise(ctx, promise{Shard: shard, Term: term, Zone: c.Zone}, peers) {
 		lease.ConfirmByPromises(sent, term, false)
 		return
 	}
@@ -214,7 +210,7 @@
 	if err == nil {
 		lease.Confirm(sent, time.Now(), &current, object.Version)
 		if current.Holder == c.Self {
-			c.updateRecord(ctx, shard, lease, &current, object.Version)
+			c.updateCandidates(ctx, shard, lease, &current, object.Version)
 		}
 		return
 	}
@@ -243,7 +239,6 @@
 	if !known || record.Holder != c.Self || record.Term != term {
 		return
 	}
-	record.Lends = record.Lends || c.hasLoans(lease)
 	if c.writeRecord(ctx, shard, lease, &record, version) {
 		c.Log.Warn().Int("Shard", shard).Uint64("Term", term).Msg("replaced a record of the allocator that could not be read")
 	}
@@ -274,20 +269,16 @@
 	return wanted
 }
 
-// updateRecord writes a record with the wanted candidates to the platform, and whether
-// the holder lends, if any of these has changed. While loans are in use only their begin
-// is written: a new candidate may not read that part of the record.
-func (c *Client) updateRecord(ctx context.Context, shard int, lease *Lease, record *kinds.Allocator, version uint64) {
-	changed := *record
-	changed.Candidates = c.wantedCandidates(shard)
-	changed.Lends = lease.WantsLoans(time.Now())
-	same := slices.Equal(changed.Candidates, record.Candidates)
-	if same && changed.Lends == record.Lends {
+// updateCandidates writes a record with the wanted candidates to the platform,
+// if they have changed.
+func (c *Client) updateCandidates(ctx context.Context, shard int, lease *Lease, record *kinds.Allocator, version uint64) {
+	next := c.wantedCandidates(shard)
+	if slices.Equal(next, record.Candidates) {
 		return
 	}
-	if begins := same && changed.Lends; begins || !c.hasLoans(lease) {
-		c.writeRecord(ctx, shard, lease, &changed, version)
-	}
+	changed := *record
+	changed.Candidates = next
+	c.writeRecord(ctx, shard, lease, &changed, version)
 }
 
 // monitor asks the holder of a shard's allocator whether it still holds it. The
@@ -299,11 +290,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, max(leaseInterval, min(slowFactor*c.Mesh.RoundTrip(record.Holder), maxPatience)))
 	defer cancel()
 	var answer promised
-	question := promise{ReadsLends: true, Shard: record.Shard, Term: record.Term, Zone: record.Zone}
-	err := c.Mesh.Call(callCtx, record.Holder, wire.KindHolding, question, &answer)
-	if err == nil && answer.OK {
-		lease.HearHolder(record.Term)
-	}
+	err := c.Mesh.Call(callCtx, record.Holder, wire.KindHolding, promise{Shard: record.Shard, Term: record.Term, Zone: record.Zone}, &answer)
 	missed := lease.CountMissedAnswers(err == nil && answer.OK)
 	if missed >= maxMissedAnswers*c.takeoverPosition(record) && lease.MayTakeOver(now, record) {
 		c.takeOver(ctx, lease, record)
@@ -327,15 +314,10 @@
 
 // takeOver tries to make this node the holder of the next term.
 func (c *Client) takeOver(ctx context.Context, lease *Lease, record *kinds.Allocator) {
-	// The version is read first, so that the write fails if the record read is older.
-	version := c.Config.Object(kinds.AllocatorKey(c.Zone, record.Shard)).Version
-	next, known := c.Config.Snapshot().Allocator(c.Zone, record.Shard)
-	if !known || next.Term != record.Term {
-		return
-	}
+	next := *record
 	next.Holder = c.Self
-	next.Lends = lease.MayBeLent(time.Now(), &next) || c.recordUnreadable(record.Shard)
 	next.Term++
+	version := c.Config.Object(kinds.AllocatorKey(c.Zone, record.Shard)).Version
 	if c.writeRecord(ctx, record.Shard, lease, &next, version) {
 		c.Log.Info().Int("Shard", record.Shard).Uint64("Term", next.Term).Msg("took over the allocator")
 	}
@@ -367,15 +349,9 @@
 	// Outage says that the holder continues although the platform does not
 	// answer.
 	Outage bool `cbor:",omitempty"`
-	// Process identifies the process of a holder that asks whether the candidate has heard
-	// of an earlier one, 0 in other requests. It asks for no promise.
-	Process uint64 `cbor:",omitempty"`
-	// ReadsLends says that a candidate holds back the rate after a takeover if the record
-	// says that the holder lends. Nodes of earlier versions neither send nor read it.
-	ReadsLends bool `cbor:",omitempty"`
-	Shard      int
-	Term       uint64
-	Zone       string
+	Shard  int
+	Term   uint64
+	Zone   string
 }
 
 // Check implements wire.Checker.
@@ -389,8 +365,6 @@
 // promised is the answer to a promise or a Handover.
 type promised struct {
 	OK bool
-	// Unheard says that the candidate has heard of no earlier process of the holder.
-	Unheard bool `cbor:",omitempty"`
 }
 
 // Check implements wire.Checker.
@@ -420,19 +394,13 @@
 
 // handleHolding answers whether this node holds the allocator in the given term
 // or a later one.
-func (c *Client) handleHolding(from netip.AddrPort, body []byte) (any, error) {
+func (c *Client) handleHolding(_ netip.AddrPort, body []byte) (any, error) {
 	var p promise
 	if err := wire.Decode(body, &p); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if p.Zone != c.Zone || p.Shard >= len(c.leases) {
-		return promised{}, nil
-	}
-	lease := c.leases[p.Shard]
-	if p.ReadsLends {
-		lease.AckLoans(time.Now(), from)
-	}
-	return promised{OK: lease.Term() >= p.Term}, nil
+	holds := p.Zone == c.Zone && p.Shard < len(c.leases) && c.leases[p.Shard].Term() >= p.Term
+	return promised{OK: holds}, nil
 }
 
 // handlePromise answers a holder's request for a promise.
@@ -441,14 +409,8 @@
 	if err := wire.Decode(body, &p); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if p.Zone != c.Zone || p.Shard >= len(c.leases) {
-		return promised{}, nil
-	}
-	if p.Process != 0 {
-		return promised{Unheard: c.leases[p.Shard].HearRestart(p.Term, p.Process)}, nil
-	}
 	record, known := c.Config.Snapshot().Allocator(p.Zone, p.Shard)
-	if !known {
+	if !known || p.Zone != c.Zone || p.Shard >= len(c.leases) {
 		return promised{}, nil
 	}
 	return promised{OK: c.leases[p.Shard].Promise(time.Now(), p.Term, &record, p.Outage)}, nil
--- a/internal/process/quota/sessions_test.go
+++ b/internal/process/quota/sessions_test.go
@@ -84,19 +84,6 @@
 		fmt.Fprintf(&s.Out, ": %s", formatTokens(granted, grant.Now))
 	case "hold": // hold NODE ALLOCATOR N: asks N times for tokens to hold
 		s.hold(words[1], words[2], number(3))
-	case "lends": // lends NODE TERM HOLDER CANDIDATE...: confirms a record that says that the holder lends
-		record := &kinds.Allocator{Candidates: addresses(words[4:]), Holder: address(words[3]), Lends: true, Term: uint64(number(2)), Zone: "zone"}
-		s.leases[words[1]].Confirm(s.Now, s.Now, record, uint64(number(2)))
-	case "holding": // holding CANDIDATE HOLDER: asks whether the holder still holds the allocator
-		s.leases[words[2]].AckLoans(s.Now, address(words[1]))
-	case "stop-loans": // stop-loans HOLDER
-		fmt.Fprintf(&s.Out, ": until %v", max(s.leases[words[1]].StopLoans(s.Now).Sub(s.Now), 0))
-	case "borrow": // borrow NODE ALLOCATOR RATE [lost]: the answer may be lost
-		fmt.Fprintf(&s.Out, ": %s", s.borrow(words[1], words[2], number(3), len(words) == 4))
-	case "drain": // drain DURATION NODE...: uses tokens of the nodes as soon as they come
-		d, err := time.ParseDuration(words[1])
-		assert.NilError(t, err)
-		fmt.Fprintf(&s.Out, ": %d", s.drain(d, words[2:]))
 	case "spend": // spend NODE N: uses up to N held tokens
 		n := 0
 		for n < number(2) && s.cache(words[1]).Take(s.Now, s.key, s.limit) {
@@ -147,46 +134,6 @@
 	fmt.Fprintf(&s.Out, ": %s", formatTokens(granted, total))
 }
 
-// borrow asks an allocator for a part of the rate, as a node to which answers take a time
-// does, and returns the rate of the loan.
-func (s *quotaSession) borrow(node, allocator string, rate int, arrives bool) string {
-	const trip = 800 * time.Millisecond
-	cache := s.cache(node)
-	cache.mu.Lock()
-	e := cache.entry(s.Now, s.key)
-	e.demand = float64(rate)
-	e.limit = s.limit
-	if e.loan != nil {
-		e.loan.asked = time.Time{}
-	}
-	cache.mu.Unlock()
-	ask := &Ask{Key: s.key, Zone: "zone"}
-	cache.PlanLoan(s.Now, ask, trip)
-	grant, granted := s.askAllocator(allocator, node, ask)
-	if !granted {
-		return formatTokens(false, 0)
-	}
-	if arrives {
-		cache.ApplyLoan(s.Now, s.Now, ask, &grant)
-	}
-	return fmt.Sprintf("%.2f", grant.Rate)
-}
-
-// drain moves the time on and returns how many tokens the nodes used.
-func (s *quotaSession) drain(d time.Duration, nodes []string) int {
-	total := 0
-	for end := s.Now.Add(d); s.Now.Before(end); {
-		s.Now = s.Now.Add(time.Millisecond)
-		for _, node := range nodes {
-			for s.cache(node).Take(s.Now, s.key, s.limit) {
-				s.recordUse(1)
-				total++
-			}
-		}
-	}
-	return total
-}
-
 func (s *quotaSession) cache(node string) *Cache {
 	if s.caches[node] == nil {
 		s.caches[node] = NewCache(s.start)
--- a/internal/version/kinds/kinds.go
+++ b/internal/version/kinds/kinds.go
@@ -128,9 +128,6 @@
 	Holder netip.AddrPort
 	// Candidates are the nodes that may take over, including the holder.
 	Candidates []netip.AddrPort
-	// Lends says that nodes may use parts of the rates that a holder lent them. A node that
-	// takes over holds these back until they have ended. Nodes of earlier versions ignore it.
-	Lends bool `json:",omitempty"`
 }
 
 // maxTerm leaves room for more changes of the holder than there can be.
