--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -65,6 +65,7 @@
 		defer watchCaller(ctx, cancel).stop()
 	}
 	hb := startHeartbeat(w)
+	defer hb.stop() // also after a panic
 	lc, refusal := r.enterGate(ctx, now, c, req.Header.Get(chain.HeaderAlternative) != "")
 	if refusal != nil {
 		hb.stop()
