Send the refusal of too large a body within a second

A caller that announced a body above its row's limit and stopped sending got no answer at all: the HTTP server reads such a body before it writes the refusal, without a deadline. It now has that of the other refusals of unread bodies.

TestRejectedBody/too_large_a_body_and_a_part_of_it failed before: no refusal within an hour of virtual time.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -138,6 +138,13 @@
 // response. A caller that still sends when its connection is closed may lose the response.
 const discardTime = time.Second
 
+// limitDiscard lets the HTTP server read an unread body for discardTime before it sends the
+// response.
+func limitDiscard(w http.ResponseWriter, now time.Time) {
+	// An error means that the response is not sent by an HTTP server.
+	_ = http.NewResponseController(w).SetReadDeadline(now.Add(discardTime))
+}
+
 // stop ends a pending read of the caller's body and fails later ones. If the body
 // was not read completely, the server reads on for discardTime at most.
 func (u *upload) stop() {
--- a/internal/request/relay/rejected_test.go
+++ b/internal/request/relay/rejected_test.go
@@ -16,6 +16,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabibend/wasabibend/internal/fakes/steps"
+	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/internal/version/kinds"
+	"github.com/wasabibend/wasabibend/internal/version/snaps"
+	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
 // TestRejectedBody runs the cases of testdata/rejected.csv in virtual time. It guards against
@@ -43,6 +47,8 @@
 	switch record[1] {
 	case "entry":
 		r.CloseEntry()
+	case "limit":
+		applyMaxBody(t, r, 10)
 	case "nodes":
 	case "token":
 		handler = r.ServeUpstream
@@ -77,3 +83,13 @@
 	_, err = http.ReadResponse(reader, nil)
 	assert.Equal(t, strconv.FormatBool(err == nil), record[7], "%v", err)
 }
+
+// applyMaxBody limits the bodies of requests of a relay's open route.
+func applyMaxBody(t *testing.T, r *Relay, maxBody int64) {
+	t.Helper()
+	row := rows.Default("* /ledger", rows.AnyCustomer)
+	row.MaxBody, row.Open = maxBody, true
+	value, err := kinds.Encode(&kinds.RowObject{Row: row})
+	assert.NilError(t, err)
+	r.Config.Apply(snaps.Delta{Objects: []store.Object{{Key: kinds.RowKey(row.Route, row.Customer), Value: value, Version: 2}}, Revision: 2})
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -387,8 +387,7 @@
 // before it sends the refusal, for discardTime at most.
 func (r *Relay) reject(w http.ResponseWriter, req *http.Request, customer string, refusal *refuse.Refusal) {
 	if req.ContentLength != 0 {
-		// An error means that the response is not sent by an HTTP server.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
+		limitDiscard(w, time.Now())
 	}
 	r.refuse(w, customer, refusal)
 }
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -113,6 +113,7 @@
 	s.header = s.relay.forwardRequestHeader(s.request.Header)
 	length := s.request.ContentLength
 	if s.maxBody > 0 && length > s.maxBody {
+		limitDiscard(s.writer, time.Now())
 		return s.bodyTooLarge()
 	}
 	if length == 0 {
