Write the chunks of the soak's callers in one piece

net/http/httputil's chunk writer sent the head, the data and the end of a chunk in three writes, and its package is that of ready-made proxies, which this project does not use.

--- a/internal/cmds/soak/uploads.go
+++ b/internal/cmds/soak/uploads.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"time"
 
@@ -146,15 +145,15 @@
 		case <-time.After(maxExpectWait):
 		}
 	}
-	var body io.Writer = u.conn
-	if u.request.Chunked {
-		body = httputil.NewChunkedWriter(u.conn)
-	}
 	data := u.request.Body()
 	interval := u.time / time.Duration((len(data)+uploadPieceBytes-1)/uploadPieceBytes)
 	for len(data) > 0 {
 		n := min(len(data), uploadPieceBytes)
-		if _, err := body.Write(data[:n]); err != nil {
+		piece := data[:n]
+		if u.request.Chunked {
+			piece = fmt.Appendf(nil, "%x\r\n%s\r\n", n, piece)
+		}
+		if _, err := u.conn.Write(piece); err != nil {
 			return trace.Wrap(err)
 		}
 		data = data[n:]
