Find an Accept that waits already when quiescing

Quiesce waited in closeIfEmpty and Accept for the lock that Quiesce held.

Cause: Quiesce counted how often Accept came to wait. If it had to look once more, as when a poll of the backlog is interrupted by a signal of the runtime, it took the lock again before Accept had run, and waited for a count that could not grow. Accept now says whether it waits; the poll is repeated on EINTR.

TestQuiesceFindsWaitingAccept plays this order. By the dump of the goroutines the code before waits in it; that was not run, as the seam is new. The tests of the package for the listener pass.

--- a/internal/conn/conns/listener.go
+++ b/internal/conn/conns/listener.go
@@ -34,10 +34,12 @@
 	accept func() (*net.TCPConn, error)
 	closed atomic.Bool
 	filter func(fd int) error // makes the kernel accept no new connections
-	pauses atomic.Int64       // how often Accept has come to wait for Quiesce
 
-	// mu is held by Quiesce while Accept must wait. No other lock is acquired with it.
+	// mu is held by Quiesce while Accept must wait. No other lock is acquired while it is
+	// held.
 	mu sync.Mutex
+	// waiting is whether Accept waits for mu. It is set without mu and unset with it.
+	waiting atomic.Bool
 }
 
 // Listen returns a Listener on an address. It disables Multipath TCP, as the
@@ -63,9 +65,10 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		// Waits while Quiesce, which has set the deadline, looks at the backlog.
-		l.pauses.Add(1)
+		// Quiesce has set the deadline and looks at the backlog.
+		l.waiting.Store(true)
 		l.mu.Lock()
+		l.waiting.Store(false)
 		l.mu.Unlock()
 	}
 }
@@ -126,13 +129,17 @@
 func (l *Listener) closeIfEmpty(ctx context.Context) (bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pauses := l.pauses.Load()
+	return l.closeIfEmptyLocked(ctx)
+}
+
+// closeIfEmptyLocked is closeIfEmpty with the lock held.
+func (l *Listener) closeIfEmptyLocked(ctx context.Context) (bool, error) {
 	if err := l.SetDeadline(time.Unix(1, 0)); err != nil {
 		return false, trace.Wrap(err)
 	}
 	// An error means that the listener is closed.
 	defer func() { _ = l.SetDeadline(time.Time{}) }()
-	for l.pauses.Load() == pauses {
+	for !l.waiting.Load() {
 		if _, err := l.hasBacklog(); err != nil {
 			return false, trace.Wrap(err)
 		}
@@ -180,6 +187,9 @@
 	if err := raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Events: unix.POLLIN, Fd: int32(fd)}}
 		n, err := unix.Poll(fds, 0)
+		for errors.Is(err, unix.EINTR) {
+			n, err = unix.Poll(fds, 0)
+		}
 		waiting = err != nil || n > 0
 	}); err != nil {
 		return false, trace.Wrap(err)
--- a/internal/conn/conns/listener_test.go
+++ b/internal/conn/conns/listener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -148,6 +149,35 @@
 	assert.NilError(t, conn.Close())
 }
 
+// TestQuiesceFindsWaitingAccept guards against a Quiesce that never returns because Accept,
+// which it has made wait before, has not run since.
+func TestQuiesceFindsWaitingAccept(t *testing.T) {
+	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	l.mu.Lock()
+	l.accept = func() (*net.TCPConn, error) {
+		if l.closed.Load() {
+			return nil, net.ErrClosed
+		}
+		return nil, os.ErrDeadlineExceeded
+	}
+	var accepting sync.WaitGroup
+	accepting.Go(func() {
+		_, err := l.Accept()
+		assert.Check(t, errors.Is(err, net.ErrClosed), "%v", err)
+	})
+	for !l.waiting.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	closed, err := l.closeIfEmptyLocked(ctx)
+	l.mu.Unlock()
+	assert.NilError(t, err)
+	assert.Check(t, closed)
+	accepting.Wait()
+}
+
 // TestQuiesceEndsWithContext checks that Quiesce returns when its context ends while Accept
 // is not called, and that the listener accepts connections afterwards.
 func TestQuiesceEndsWithContext(t *testing.T) {
