Let no deadline end the requests of TestBodyOfNextAttempt

The case took 7.6 s; alone all take under a second each.

Cause: the requests have the default timeout of a route, 5 s, and the process had stood still.

--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -102,10 +102,17 @@
 // newRelay returns a Relay at the address self with an upstream, a table with one open
 // route, and the given members in its member table.
 func newRelay(tb testing.TB, self, upstream netip.AddrPort, members ...member.Record) *Relay {
+	tb.Helper()
+	return newPatientRelay(tb, rows.Default("* /ledger", rows.AnyCustomer).Timeout, self, upstream, members...)
+}
+
+// newPatientRelay is newRelay with a route whose requests have the given time.
+func newPatientRelay(tb testing.TB, timeout time.Duration, self, upstream netip.AddrPort, members ...member.Record) *Relay {
 	tb.Helper()
 	config := snaps.NewHolder()
 	row := rows.Default("* /ledger", rows.AnyCustomer)
 	row.Open = true
+	row.Timeout = timeout
 	value, err := kinds.Encode(&kinds.RowObject{Row: row})
 	assert.NilError(tb, err)
 	config.Apply(snaps.Delta{Objects: []store.Object{{Key: kinds.RowKey(row.Route, row.Customer), Value: value, Version: 1}}, Revision: 1})
