--- a/internal/conn/conns/listener.go
+++ b/internal/conn/conns/listener.go
@@ -31,7 +31,7 @@
 // returned yet. Only Quiesce may set its deadline.
 type Listener struct {
 	*net.TCPListener
-	accept func() (*net.TCPConn, error)
+	accept func() (*net.TCPConn, error) // AcceptTCP
 	closed atomic.Bool
 	filter func(fd int) error // makes the kernel accept no new connections
 
@@ -65,7 +65,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		// Quiesce has set the deadline and looks at the backlog.
+		// Quiesce has set the deadline. It holds mu until it has looked at the backlog.
 		l.waiting.Store(true)
 		l.mu.Lock()
 		l.waiting.Store(false)
