--- /dev/null
+++ b/review/_rig2/drain.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// heavy is the query of requests that last long.
+const heavy = "plots=all"
+
+func isHeavy(r *http.Request) bool {
+	return r.URL.RawQuery == heavy
+}
+
+// playDrainRepeat drains a backend that fails part of its requests: the heavy ones.
+func playDrainRepeat(f *fleet, trouble bool) (bool, error) {
+	options := backendOptions{work: func(r *http.Request) time.Duration {
+		if isHeavy(r) {
+			return 1200 * time.Millisecond
+		}
+		return 30 * time.Millisecond
+	}}
+	for _, zone := range zones {
+		f.add(zone, "plotvefur", options)
+		f.add(zone, "boka", options)
+	}
+	grey := f.hosts[0].backend
+	if err := f.startAll(&config{
+		Routes:   []route{{Name: "browse", Host: vhost, PathPrefix: "/browse/", RouteType: "idempotent", TimeoutMS: 6000, TargetMS: 1500, Service: "plotvefur", MaxAttempts: 2}},
+		Services: []service{newService("plotvefur"), newService("boka")},
+		Tenants:  []tenant{{Name: tenantName, APIKeys: []string{key}}},
+	}); err != nil {
+		return false, err
+	}
+	clients := newClient(f)
+	var wg sync.WaitGroup
+	end := time.Now().Add(6 * time.Second)
+	for _, h := range f.hosts {
+		for i := range 5 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for time.Now().Before(end) {
+					path := "/browse/" + newID()
+					if i == 0 {
+						path += "?" + heavy
+					}
+					clients.send(h, ask{method: http.MethodGet, host: vhost, path: path, key: key, deadline: 6 * time.Second})
+				}
+			}()
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		f.note("%s begins to fail its heavy requests; its health check stays good", grey.id)
+		grey.setFails(isHeavy)
+	}
+	time.Sleep(time.Second)
+	grey.drain()
+	wg.Wait()
+	failed, runs := grey.failed.Load(), grey.runs.Load()
+	f.note("%s failed %d of %d runs", grey.id, failed, runs)
+	return lateRuns(f, grey), nil
+}
+
+// lateRuns checks DRAIN: it reports whether requests reached a backend later than drain_ms
+// after the acknowledgement.
+func lateRuns(f *fleet, b *backend) bool {
+	late := b.lateArrivals(boundDrain)
+	for _, a := range late {
+		f.note("DRAIN: request %s reached %s %d ms after the acknowledgement", a.id, b.id, a.at.Sub(b.ackedAt).Milliseconds())
+	}
+	f.note("%d requests reached the draining backend later than %v after the acknowledgement", len(late), boundDrain)
+	fmt.Printf("late requests: %d\n", len(late))
+	return len(late) > 0
+}
+
+// playSlowUpload drains a backend while clients send their bodies in pieces.
+func playSlowUpload(f *fleet, trouble bool) (bool, error) {
+	for _, zone := range zones {
+		f.add(zone, "kortasafn", backendOptions{})
+		f.add(zone, "boka", backendOptions{})
+	}
+	if err := f.startAll(&config{
+		Routes:   []route{{Name: "upload", Host: vhost, PathPrefix: "/upload/", RouteType: "upload", TimeoutMS: 8000, TargetMS: 2000, Service: "kortasafn", MaxAttempts: 2}},
+		Services: []service{newService("kortasafn"), newService("boka")},
+		Tenants:  []tenant{{Name: tenantName, APIKeys: []string{key}}},
+	}); err != nil {
+		return false, err
+	}
+	var wg sync.WaitGroup
+	for _, h := range f.hosts {
+		for range 3 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				uploadInPieces(f, h)
+			}()
+		}
+	}
+	time.Sleep(400 * time.Millisecond)
+	leaving := f.hosts[0].backend
+	if trouble {
+		leaving.drain()
+	}
+	wg.Wait()
+	return lateRuns(f, leaving), nil
+}
+
+// uploadInPieces sends an upload in chunks, the first of which comes after a pause.
+func uploadInPieces(f *fleet, h *host) {
+	const bodyBytes = 60000
+	const pause = 2600 * time.Millisecond
+	id := newID()
+	conn, err := net.DialTimeout("tcp", h.address(portOutbound), time.Second)
+	if err != nil {
+		f.note("request %s: %v", id, err)
+		return
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
+	f.note("the header of request %s (POST, in chunks) is sent to %s", id, h.name)
+	fmt.Fprintf(conn, "POST /upload/%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 8000\r\nApi-Key: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, vhost, id, key)
+	time.Sleep(pause)
+	f.note("request %s: its body is sent", id)
+	if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", bodyBytes, strings.Repeat("m", bodyBytes)); err != nil {
+		f.note("request %s: %v", id, err)
+		return
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		f.note("request %s gets no answer: %v", id, err)
+		return
+	}
+	defer response.Body.Close()
+	f.note("request %s gets %d", id, response.StatusCode)
+}
