--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -25,11 +25,11 @@
 type play func(f *fleet, trouble bool) (bool, error)
 
 var plays = map[string]play{
-	"drain-repeat":   playDrainRepeat,
-	"late-long":      playLateLong,
-	"open-stop":      playOpenStop,
-	"quota-restart":  playQuotaRestart,
-	"slow-upload":    playSlowUpload,
+	"drain-repeat":  playDrainRepeat,
+	"late-long":     playLateLong,
+	"open-stop":     playOpenStop,
+	"quota-restart": playQuotaRestart,
+	"slow-upload":   playSlowUpload,
 }
 
 func main() {
