Review: show that a popular path is refused for ten minutes after two crashes

Cause: the request that ran as the suspect stays marked while equal requests are in flight, although it has succeeded, and is found guilty at the next crash.

--- a/review/_rig2/backend.go
+++ b/review/_rig2/backend.go
@@ -19,6 +19,9 @@
 const (
 	heartbeat = 1500 * time.Millisecond
 	ackLimit  = time.Second // for the answer to a report
+	// drainMargin is how much longer than promised a backend serves after it has said that it
+	// leaves.
+	drainMargin = 500 * time.Millisecond
 )
 
 // backendOptions say how a backend behaves.
@@ -40,14 +43,14 @@
 // backend is a stand-in for an application's backend beside a node.
 type backend struct {
 	backendOptions
-	born     time.Time
-	client   *http.Client
-	host     *host
-	id       string
-	listener net.Listener
-	failed   atomic.Int64 // runs that ended with 500
-	runs     atomic.Int64
-	running  atomic.Int64
+	born    time.Time
+	client  *http.Client
+	host    *host
+	id      string
+	server  *http.Server
+	failed  atomic.Int64 // runs that ended with 500
+	runs    atomic.Int64
+	running atomic.Int64
 
 	mu       sync.Mutex
 	ackedAt  time.Time // when the node acknowledged that the backend leaves
@@ -65,14 +68,15 @@
 }
 
 func (b *backend) start() error {
-	var err error
-	if b.listener, err = net.Listen("tcp", b.host.address(portApp)); err != nil {
+	listener, err := net.Listen("tcp", b.host.address(portApp))
+	if err != nil {
 		return err
 	}
+	b.server = &http.Server{Handler: b}
 	b.born = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stopped = cancel
-	go func() { _ = http.Serve(b.listener, b) }()
+	go func() { _ = b.server.Serve(listener) }()
 	go func() {
 		for ctx.Err() == nil {
 			b.report()
@@ -88,7 +92,7 @@
 func (b *backend) stop() {
 	if b.stopped != nil {
 		b.stopped()
-		_ = b.listener.Close()
+		_ = b.server.Close()
 	}
 }
 
@@ -142,6 +146,31 @@
 	}
 }
 
+// crash ends the backend without a word. It starts again under another ID after a time.
+func (b *backend) crash(down time.Duration) error {
+	b.host.fleet.note("%s at %s crashes", b.id, b.host.name)
+	b.stop()
+	time.Sleep(down)
+	b.mu.Lock()
+	b.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	b.sequence = 0
+	b.mu.Unlock()
+	b.host.fleet.note("%s at %s starts", b.id, b.host.name)
+	return b.start()
+}
+
+// leave ends the backend once its drain time and a little more have passed since the
+// acknowledgement.
+func (b *backend) leave() {
+	time.Sleep(boundDrain + drainMargin)
+	response, err := b.client.Post("http://"+b.host.address(portControl)+"/-/instances/"+b.id+"/deregister", "application/json", nil)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	b.host.fleet.note("%s ends", b.id)
+	b.stop()
+}
+
 // setFails sets which runs end with 500 from now on.
 func (b *backend) setFails(fails func(r *http.Request) bool) {
 	b.mu.Lock()
--- a/review/_rig2/drain.go
+++ b/review/_rig2/drain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -83,7 +84,7 @@
 // playSlowUpload drains a backend while clients send their bodies in pieces.
 func playSlowUpload(f *fleet, trouble bool) (bool, error) {
 	for _, zone := range zones {
-		f.add(zone, "kortasafn", backendOptions{})
+		f.add(zone, "kortasafn", backendOptions{work: fixed(400 * time.Millisecond)})
 		f.add(zone, "boka", backendOptions{})
 	}
 	if err := f.startAll(&config{
@@ -94,12 +95,15 @@
 		return false, err
 	}
 	var wg sync.WaitGroup
+	var failed atomic.Int64
 	for _, h := range f.hosts {
 		for range 3 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				uploadInPieces(f, h)
+				if !uploadInPieces(f, h) {
+					failed.Add(1)
+				}
 			}()
 		}
 	}
@@ -107,20 +111,24 @@
 	leaving := f.hosts[0].backend
 	if trouble {
 		leaving.drain()
+		leaving.leave()
 	}
 	wg.Wait()
+	f.note("%d of %d uploads failed", failed.Load(), 3*len(f.hosts))
+	fmt.Printf("uploads failed: %d of %d\n", failed.Load(), 3*len(f.hosts))
 	return lateRuns(f, leaving), nil
 }
 
-// uploadInPieces sends an upload in chunks, the first of which comes after a pause.
-func uploadInPieces(f *fleet, h *host) {
+// uploadInPieces sends an upload in chunks, the first of which comes after a pause, and
+// reports whether it succeeded.
+func uploadInPieces(f *fleet, h *host) bool {
 	const bodyBytes = 60000
 	const pause = 2600 * time.Millisecond
 	id := newID()
 	conn, err := net.DialTimeout("tcp", h.address(portOutbound), time.Second)
 	if err != nil {
 		f.note("request %s: %v", id, err)
-		return
+		return false
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
@@ -130,13 +138,14 @@
 	f.note("request %s: its body is sent", id)
 	if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", bodyBytes, strings.Repeat("m", bodyBytes)); err != nil {
 		f.note("request %s: %v", id, err)
-		return
+		return false
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		f.note("request %s gets no answer: %v", id, err)
-		return
+		return false
 	}
 	defer response.Body.Close()
 	f.note("request %s gets %d", id, response.StatusCode)
+	return response.StatusCode == http.StatusOK
 }
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -26,7 +26,7 @@
 
 var plays = map[string]play{
 	"drain-repeat":  playDrainRepeat,
-	"late-long":     playLateLong,
+	"popular":       playPopular,
 	"open-stop":     playOpenStop,
 	"quota-restart": playQuotaRestart,
 	"slow-upload":   playSlowUpload,
