Review: let the second crash hit a backend that ran a repeated request

News of the first crash does not reach all nodes: one that has the suspect already, from a repeated request, does not pass it on. At a backend that had not heard of it the second crash blamed nothing.

Done: the script crashes a backend at which a request of the first one ran again.

--- a/review/_rig2/crash.go
+++ b/review/_rig2/crash.go
@@ -101,7 +101,11 @@
 	}
 	time.Sleep(6 * time.Second)
 	if trouble {
-		if err := f.hosts[2].backend.crash(crashTime); err != nil {
+		next := f.repeatedAt(f.hosts[0])
+		if next == nil {
+			return false, fmt.Errorf("no request that the crash cut was repeated")
+		}
+		if err := next.backend.crash(crashTime); err != nil {
 			return false, err
 		}
 	}
@@ -116,3 +120,28 @@
 	fmt.Printf("first route %d of %d, added route %d of %d\n", first.served, first.sent, added.served, added.sent)
 	return added.sent >= 20 && added.share() < first.share()/4, nil
 }
+
+// repeatedAt returns a host whose backend ran a request that had reached the one beside
+// another host before, or nil if there is none.
+func (f *fleet) repeatedAt(first *host) *host {
+	ran := make(map[string]bool)
+	first.backend.mu.Lock()
+	for _, a := range first.backend.arrivals {
+		ran[a.id] = true
+	}
+	first.backend.mu.Unlock()
+	for _, h := range f.hosts {
+		if h == first || h.service != first.service {
+			continue
+		}
+		h.backend.mu.Lock()
+		for _, a := range h.backend.arrivals {
+			if ran[a.id] {
+				h.backend.mu.Unlock()
+				return h
+			}
+		}
+		h.backend.mu.Unlock()
+	}
+	return nil
+}
