Review: show that one route with many attempts keeps a config out of force

Cause: a route may have 16 attempts at most, and a config with one invalid route is rejected as a whole.

--- a/review/_rig2/bounds.go
+++ b/review/_rig2/bounds.go
@@ -7,11 +7,9 @@
 
 // Bounds, as in the settings of the users' small deployments.
 const (
-	boundDrain       = 2000 * time.Millisecond // drain_ms
-	boundGrace       = 6 * time.Second         // grace_s
-	boundQuotaExcess = 0.1                     // quota_excess
-	boundQuotaSlack  = 20                      // quota_slack
-	boundQuotaWindow = 5 * time.Second         // quota_window_s
+	boundConfig = 2000 * time.Millisecond // config_ms
+	boundDrain  = 2000 * time.Millisecond // drain_ms
+	boundGrace  = 6 * time.Second         // grace_s
 )
 
 // What all configs of the cases have in common.
