Review: show that requests that crash backends are forgotten with all nodes

Cause: quarantined requests are kept in the nodes' memory only, and a crash beside the node that took the request does not make it a suspect for the next one.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -12,4 +12,4 @@
     exit 2
   fi
 done
-exec target/rig2 -case drain-repeat -trouble=$trouble -record "$folder/record.txt"
+exec target/rig2 -case poison -trouble=$trouble -record "$folder/record.txt"
--- a/review/_rig2/backend.go
+++ b/review/_rig2/backend.go
@@ -26,8 +26,6 @@
 
 // backendOptions say how a backend behaves.
 type backendOptions struct {
-	// fails tells whether a run ends with 500.
-	fails func(r *http.Request) bool
 	slots int
 	// work returns how long a request runs.
 	work func(r *http.Request) time.Duration
@@ -48,8 +46,6 @@
 	host    *host
 	id      string
 	server  *http.Server
-	failed  atomic.Int64 // runs that ended with 500
-	runs    atomic.Int64
 	running atomic.Int64
 
 	mu       sync.Mutex
@@ -171,13 +167,6 @@
 	b.stop()
 }
 
-// setFails sets which runs end with 500 from now on.
-func (b *backend) setFails(fails func(r *http.Request) bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fails = fails
-}
-
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	running := b.running.Add(1)
@@ -205,7 +194,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	b.runs.Add(1)
 	now := time.Now()
 	b.mu.Lock()
 	b.arrivals = append(b.arrivals, arrival{at: now, id: id, tenant: r.Header.Get("Tenant")})
@@ -229,15 +217,6 @@
 		panic(http.ErrAbortHandler)
 	case <-time.After(work):
 	}
-	b.mu.Lock()
-	fails := b.fails
-	b.mu.Unlock()
-	if fails != nil && fails(r) {
-		b.failed.Add(1)
-		b.host.fleet.note("request %s: its run at %s ends with 500", id, b.id)
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
 	body := []byte("answer to " + id + "\n")
 	w.Header().Set("Response-Seal", seal(id, body))
 	_, _ = w.Write(body)
--- a/review/_rig2/drain.go
+++ b/review/_rig2/drain.go
@@ -11,64 +11,6 @@
 	"time"
 )
 
-// heavy is the query of requests that last long.
-const heavy = "plots=all"
-
-func isHeavy(r *http.Request) bool {
-	return r.URL.RawQuery == heavy
-}
-
-// playDrainRepeat drains a backend that fails part of its requests: the heavy ones.
-func playDrainRepeat(f *fleet, trouble bool) (bool, error) {
-	options := backendOptions{work: func(r *http.Request) time.Duration {
-		if isHeavy(r) {
-			return 1200 * time.Millisecond
-		}
-		return 30 * time.Millisecond
-	}}
-	for _, zone := range zones {
-		f.add(zone, "plotvefur", options)
-		f.add(zone, "boka", options)
-	}
-	grey := f.hosts[0].backend
-	if err := f.startAll(&config{
-		Routes:   []route{{Name: "browse", Host: vhost, PathPrefix: "/browse/", RouteType: "idempotent", TimeoutMS: 6000, TargetMS: 1500, Service: "plotvefur", MaxAttempts: 2}},
-		Services: []service{newService("plotvefur"), newService("boka")},
-		Tenants:  []tenant{{Name: tenantName, APIKeys: []string{key}}},
-	}); err != nil {
-		return false, err
-	}
-	clients := newClient(f)
-	var wg sync.WaitGroup
-	end := time.Now().Add(6 * time.Second)
-	for _, h := range f.hosts {
-		for i := range 5 {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				for time.Now().Before(end) {
-					path := "/browse/" + newID()
-					if i == 0 {
-						path += "?" + heavy
-					}
-					clients.send(h, ask{method: http.MethodGet, host: vhost, path: path, key: key, deadline: 6 * time.Second})
-				}
-			}()
-		}
-	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		f.note("%s begins to fail its heavy requests; its health check stays good", grey.id)
-		grey.setFails(isHeavy)
-	}
-	time.Sleep(time.Second)
-	grey.drain()
-	wg.Wait()
-	failed, runs := grey.failed.Load(), grey.runs.Load()
-	f.note("%s failed %d of %d runs", grey.id, failed, runs)
-	return lateRuns(f, grey), nil
-}
-
 // lateRuns checks DRAIN: it reports whether requests reached a backend later than drain_ms
 // after the acknowledgement.
 func lateRuns(f *fleet, b *backend) bool {
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -25,11 +25,11 @@
 type play func(f *fleet, trouble bool) (bool, error)
 
 var plays = map[string]play{
-	"attempts":     playAttempts,
-	"drain-repeat": playDrainRepeat,
-	"popular":      playPopular,
-	"open-stop":    playOpenStop,
-	"slow-upload":  playSlowUpload,
+	"attempts":    playAttempts,
+	"poison":      playPoison,
+	"popular":     playPopular,
+	"open-stop":   playOpenStop,
+	"slow-upload": playSlowUpload,
 }
 
 func main() {
