Tell callers without a key from sub-calls of the local upstream

Cause: each such request counted as a sub-call of the node's own upstream, which a stopping node serves to the end. It never became idle and cut them after 5.28 s.

Change: a request without a key is a sub-call only while the local upstream runs a request that ends no earlier (250 ms of tolerance, for the time between the node's and the upstream's clocks of one request). All other requests without a key are callers': they pass admission, are refused at a stop, and do not count as calls of the upstream. A request that may be either is refused near the end by the times that its route took.

--- a/internal/request/chain/running.go
+++ b/internal/request/chain/running.go
@@ -53,3 +53,16 @@
 	defer t.mu.Unlock()
 	delete(t.running, token)
 }
+
+// AnyRunningAt reports whether a request whose token is valid has a deadline at the given
+// time or later.
+func (t *Tokens) AnyRunningAt(deadline time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, running := range t.running {
+		if !running.Deadline.Before(deadline) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/request/relay/finish.go
+++ b/internal/request/relay/finish.go
@@ -58,8 +58,6 @@
 }
 
 // FinishBy makes the relay refuse new requests that would probably not end before a time.
-// Sub-calls of the local upstream are still served, as they end with the requests that
-// they are made for.
 func (r *Relay) FinishBy(end time.Time) {
 	r.finishBy.Store(&end)
 }
@@ -78,3 +76,13 @@
 	}
 	return !now.Add(expected + finishMargin).After(*end)
 }
+
+// mayFinishRoot reports whether a request of a caller ends before the node does. One that may
+// be a sub-call ends with the request that it is made for, so its limit does not count, but
+// the times that requests of its route lately took do: it may be a caller's after all.
+func (r *Relay) mayFinishRoot(now time.Time, p *policy, info CallerInfo) bool {
+	if _, known := r.rootDurations.longest(now, p.route); p.subCall && !known {
+		return true
+	}
+	return r.mayFinish(now, r.rootDurations, p.route, p.longest(info))
+}
--- a/internal/request/relay/policy.go
+++ b/internal/request/relay/policy.go
@@ -23,7 +23,7 @@
 	customer    string
 	idempotent  bool
 	importance  int
-	subCall     bool          // made by the local upstream, for an unknown root request
+	subCall     bool          // probably made by the local upstream, for an unknown root request
 	limit       quota.Limit   // a rate of 0 means no limit
 	maxBody     int64         // bytes; 0 for no limit
 	objective   time.Duration // for the response time; 0 for none and for rows of the table
@@ -49,7 +49,7 @@
 // request, at most the customer of the returned policy is set.
 func (r *Relay) identify(now time.Time, req *http.Request, info CallerInfo) (policy, *refuse.Refusal) {
 	if r.Catalog != nil {
-		return r.identifyByCatalog(req, info)
+		return r.identifyByCatalog(now, req, info)
 	}
 	return r.identifyByTable(now, req, info)
 }
@@ -109,7 +109,7 @@
 	return !known || age > row.KeyGrace
 }
 
-func (r *Relay) identifyByCatalog(req *http.Request, info CallerInfo) (policy, *refuse.Refusal) {
+func (r *Relay) identifyByCatalog(now time.Time, req *http.Request, info CallerInfo) (policy, *refuse.Refusal) {
 	snapshot := r.Catalog.Snapshot()
 	if snapshot.CatalogVersion() == 0 {
 		return policy{}, refuse.New(refuse.NoConfiguration, defaultRetryAfter, "the node has no configuration yet")
@@ -132,12 +132,23 @@
 		weight:      1,
 	}
 	if route.Open {
-		p.subCall = info.Key == ""
+		p.subCall = info.Key == "" && r.maySubCall(now, info)
 		return p, nil
 	}
 	return p.withCustomer(snapshot, info.Key)
 }
 
+// subCallSlack is how much later than the request that it is made for a sub-call may end by
+// its own deadline. The upstream counts from when it reads the request.
+const subCallSlack = 250 * time.Millisecond
+
+// maySubCall reports whether a request without a key may come from the local upstream. It
+// makes sub-calls only while it runs requests, and a sub-call ends with its request at the
+// latest. Any other request is a caller's.
+func (r *Relay) maySubCall(now time.Time, info CallerInfo) bool {
+	return r.tokens.AnyRunningAt(now.Add(info.Timeout - subCallSlack))
+}
+
 // withCustomer returns the policy with the settings of the customer to which a key
 // belongs, or a refusal.
 func (p policy) withCustomer(snapshot *snaps.Snapshot, key string) (policy, *refuse.Refusal) {
--- a/internal/request/relay/policy_test.go
+++ b/internal/request/relay/policy_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/internal/request/chain"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
 	"github.com/wasabibend/wasabibend/pkg/rows"
 )
@@ -55,15 +56,15 @@
 				}, nil
 			}))
 			catalog.Apply(snaps.Delta{Objects: []store.Object{{Key: "catalog", Value: []byte("{}"), Version: 1}}, Revision: 1})
-			r := &Relay{Options: Options{Catalog: catalog}}
+			r := &Relay{Options: Options{Catalog: catalog}, tokens: chain.NewTokens()}
 			request := httptest.NewRequest(http.MethodGet, "/keyed/x", nil)
 			request.Host = "x"
-			p, refusal := r.identifyByCatalog(request, CallerInfo{Key: "key"})
+			p, refusal := r.identifyByCatalog(time.Now(), request, CallerInfo{Key: "key"})
 			assert.Check(t, refusal == nil)
 			assert.DeepEqual(t, p.regions, c.want)
 			request = httptest.NewRequest(http.MethodGet, "/open/x", nil)
 			request.Host = "x"
-			p, refusal = r.identifyByCatalog(request, CallerInfo{})
+			p, refusal = r.identifyByCatalog(time.Now(), request, CallerInfo{})
 			assert.Check(t, refusal == nil)
 			assert.Equal(t, p.regions == nil, len(c.route) == 0)
 		})
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -272,16 +272,14 @@
 		r.rejectCaller(w, req, id, &p, refusal)
 		return
 	}
-	// A sub-call of the local upstream has only just been sent, on its own
-	// connection, so it needs no check.
-	if !p.subCall && callerClosed(req.Context()) {
+	if callerClosed(req.Context()) {
 		panic(http.ErrAbortHandler)
 	}
 	if r.entryClosed.Load() && !p.subCall {
 		r.rejectCaller(w, req, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node is about to end"))
 		return
 	}
-	if !p.subCall && !r.mayFinish(now, r.rootDurations, p.route, p.longest(info)) {
+	if !r.mayFinishRoot(now, &p, info) {
 		r.rejectCaller(w, req, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node ends before the request would"))
 		return
 	}
--- a/internal/request/relay/requestlog.go
+++ b/internal/request/relay/requestlog.go
@@ -43,7 +43,7 @@
 		return
 	}
 	event := r.Log.log.Info().Str("Request", id).Str("Route", p.route).Str("Customer", p.customer).
-		Str("Cause", string(refusal.Cause)).Str("Ran", string(refusal.Ran)).Dur("RetryAfter", refusal.RetryAfter).Str("Detail", refusal.Detail)
+		Str("Cause", string(refusal.Cause)).Str("Ran", string(refusal.Ran)).Dur("RetryAfter", refusal.RetryAfter).Str("Detail", refusal.Detail).Bool("SubCall", p.subCall)
 	if r.Catalog != nil {
 		age, _ := r.Catalog.Age(now)
 		event = event.Uint64("Catalog", r.Catalog.Snapshot().CatalogVersion()).Dur("CatalogAge", age)
