Suspect a request that crashed the upstream of its own entry

Cause: a retry is marked as a suspect if the refusal of another node says that its upstream crashed, but not if the upstream beside the entry did. The second upstream then ran it as an innocent one, and its crash convicted nobody.

--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -366,6 +366,7 @@
 		return nil, c.Retries, refusal
 	}
 	pending, left, refusal := lc.call(s.outgoingRequest(""))
+	s.suspect = s.suspect || refusal != nil && refusal.Crashed
 	now = time.Now()
 	s.observe(now, s.relay.Self, s.relay.load(now, c.Route))
 	return pending, left, refusal
