Pass on crash reports whose suspects the node already suspects

Cause: a node forwarded a report if it added a suspect. A node that got the request again, marked by its entry, had it already and kept the news to itself.

Change: what nodes were told is kept apart from what the node suspects.

--- a/internal/process/crash/crash.go
+++ b/internal/process/crash/crash.go
@@ -95,8 +95,10 @@
 // Table holds the suspects, the quarantined requests and the requests in flight
 // at the local upstream. No other lock is acquired while its lock is held.
 type Table struct {
-	mu              sync.Mutex
-	crashedAt       time.Time
+	mu        sync.Mutex
+	crashedAt time.Time
+	// heard holds the suspects of which other nodes have told, or have been told, and when.
+	heard           map[Fingerprint]time.Time
 	quarantined     map[Fingerprint]time.Time // and when each was added
 	inFlight        map[Fingerprint]int       // number of equal requests
 	suspectInFlight *Fingerprint              // nil for none
@@ -109,6 +111,7 @@
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{
+		heard:       make(map[Fingerprint]time.Time),
 		quarantined: make(map[Fingerprint]time.Time),
 		inFlight:    make(map[Fingerprint]int),
 		suspects:    make(map[Fingerprint]time.Time),
@@ -231,7 +234,8 @@
 func (t *Table) merge(now time.Time, report *Report) bool {
 	changed := false
 	for _, f := range report.Suspects {
-		changed = add(t.suspects, f, now, suspectTime) || changed
+		add(t.suspects, f, now, suspectTime)
+		changed = add(t.heard, f, now, suspectTime) || changed
 	}
 	for _, f := range report.Guilty {
 		delete(t.suspects, f)
@@ -268,6 +272,7 @@
 		return added
 	}
 	for _, e := range s.Suspects {
+		add(t.heard, e.Fingerprint, now, suspectTime)
 		if !t.succeededRecently(e.Fingerprint) && add(t.suspects, e.Fingerprint, now, suspectTime) {
 			shorten(t.suspects, e.Fingerprint, now.Add(e.Left-suspectTime))
 		}
