Keep what crashes upstreams in the platform's store

Cause: suspects and quarantined requests were in the memory of the nodes only. Ruled out by the log: nodes of one life agree on them within a second.

Change: the node beside a crashed upstream writes its report into an object of its availability zone, below the prefix that all nodes follow, so that starting reads nothing more. A node that starts keeps requests from its upstream until it has them, 2 s at most, as it did for evacuations.

TestGateOfEvacuatedZone has one check more, as the gate has one more reason to be closed.

--- a/internal/process/crash/agent.go
+++ b/internal/process/crash/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
 	"github.com/wasabibend/wasabibend/internal/process/member"
+	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
 
 // sendTimeout bounds the time to send a report to one neighbour.
@@ -33,22 +34,34 @@
 // Agent exchanges crash reports with other nodes. A node sends each report that is
 // new to it on to its neighbours, so that it reaches all nodes that are there. A node that
 // is not, because it starts, is cut off or stands still, gets what it has missed by an
-// exchange of states. It implements member.Shared.
+// exchange of states, or from the platform's store. It implements member.Shared.
 type Agent struct {
 	*Table
 	log     zerolog.Logger
 	members *member.Table
 	mesh    Mesh
 	queue   chan Report
+	saver   *Saver // nil for none
 
 	mu          sync.Mutex // acquired before the table's
 	exchanged   bool       // an exchange has succeeded since the start
 	exchangedAt time.Time  // when the last exchange was begun
 }
 
+// Option configures an Agent in NewAgent.
+type Option func(*Agent)
+
+// WithSaver makes the Agent write its reports to the platform's store.
+func WithSaver(saver *Saver) Option {
+	return func(a *Agent) { a.saver = saver }
+}
+
 // NewAgent returns an Agent and registers its handler with the mesh.
-func NewAgent(mesh Mesh, members *member.Table, log zerolog.Logger) *Agent {
+func NewAgent(mesh Mesh, members *member.Table, log zerolog.Logger, options ...Option) *Agent {
 	a := &Agent{Table: NewTable(), log: log, members: members, mesh: mesh, queue: make(chan Report, maxQueued)}
+	for _, option := range options {
+		option(a)
+	}
 	mesh.Handle(wire.KindCrashes, a.handleExchange)
 	mesh.Handle(wire.KindQuarantine, a.handle)
 	return a
@@ -60,6 +73,19 @@
 	if report, isNew := a.RecordCrash(now); isNew {
 		a.log.Warn().Int("Guilty", len(report.Guilty)).Int("Suspects", len(report.Suspects)).Msg("upstream crashed")
 		a.enqueue(report)
+		if a.saver != nil {
+			a.saver.Add(now, report)
+		}
+	}
+}
+
+// MergeStored adds what the platform's store has of the crashes of availability zones, and
+// logs what was new.
+func (a *Agent) MergeStored(now time.Time, stored map[string]kinds.Crashes) {
+	for zone, crashes := range stored {
+		if added := a.Table.MergeStored(now, &crashes); added > 0 {
+			a.log.Info().Int("Quarantined", added).Str("Zone", zone).Msg("took over quarantined requests from the platform's store")
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/process/node/crashes_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
+	"github.com/wasabibend/wasabibend/internal/fakes/steps"
+	"github.com/wasabibend/wasabibend/internal/process/crash"
+	"github.com/wasabibend/wasabibend/internal/version/kinds"
+)
+
+const (
+	// crashesUpstreams is the request of the tests that crashes each upstream that runs it.
+	crashesUpstreams crash.Fingerprint = 1<<63 + 7
+	// otherRequest also crashed an upstream.
+	otherRequest crash.Fingerprint = 8
+)
+
+// TestCrashesAfterKill runs the cases of testdata/crashes.csv in virtual time. It guards
+// against a request that crashes upstreams again because all nodes that knew of it were
+// killed at once.
+func TestCrashesAfterKill(t *testing.T) {
+	steps.Cases(t, "testdata/crashes.csv", func(t *testing.T, record []string) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) { runCrashes(t, record) })
+	})
+}
+
+// runCrashes runs one record, whose fields the file describes.
+func runCrashes(t *testing.T, record []string) {
+	crashes, err := strconv.Atoi(record[1])
+	assert.NilError(t, err)
+	kill, err := time.ParseDuration(record[3])
+	assert.NilError(t, err)
+	away, err := time.ParseDuration(record[4])
+	assert.NilError(t, err)
+	fault := record[5]
+	f := newCallFleet(2 * fleetZones)
+	operator := f.platform.NewMemoryStore()
+	if fault == "odd" {
+		_, err := operator.Put(t.Context(), kinds.CrashesKey("zone1"), []byte("{"), 0)
+		assert.NilError(t, err)
+	}
+	f.write(t, operator, 1)
+	f.platform.SetFaults(objapi.Faults{Delay: storeDelay})
+	f.start(t, true)
+	time.Sleep(20 * time.Second)
+	if fault == "crash" {
+		f.platform.SetFaults(objapi.Faults{Down: true})
+		time.AfterFunc(5*time.Second, func() { f.platform.SetFaults(objapi.Faults{Delay: storeDelay}) })
+	}
+	if fault == "other" {
+		f.crash(t, f.nodes[5], otherRequest)
+	}
+	began := time.Now()
+	reporters := strings.Fields(record[2])
+	for i := range crashes {
+		reporter, err := strconv.Atoi(reporters[i])
+		assert.NilError(t, err)
+		f.crash(t, f.nodes[reporter], crashesUpstreams)
+		if i+1 < crashes {
+			time.Sleep(time.Second)
+		}
+	}
+	time.Sleep(kill)
+	f.kill()
+	time.Sleep(away)
+	if fault == "start" {
+		f.platform.SetFaults(objapi.Faults{Down: true})
+		time.AfterFunc(startWait+time.Second, func() { f.platform.SetFaults(objapi.Faults{Delay: storeDelay}) })
+	}
+	f.start(t, false)
+	if fault == "start" {
+		time.Sleep(startWait)
+		for i, n := range f.nodes {
+			assert.Check(t, !n.gate.Closed(), "node %d serves without the store", i)
+		}
+		time.Sleep(5 * time.Second)
+	}
+	f.checkCrashes(t, record[6])
+	if record[6] == "refused" {
+		time.Sleep(time.Until(began.Add(crash.QuarantineTime + time.Minute)))
+		for i, n := range f.nodes {
+			assert.Equal(t, n.crashes.QuarantineLeft(time.Now(), crashesUpstreams), time.Duration(0), "node %d", i)
+		}
+	}
+	f.stop()
+}
+
+// crash lets a request crash the upstream beside a node.
+func (f *callFleet) crash(t *testing.T, n *Node, request crash.Fingerprint) {
+	t.Helper()
+	now := time.Now()
+	assert.Check(t, n.crashes.Begin(now, request, false))
+	n.crashes.ReportCrash(now)
+	n.crashes.End(request, false)
+}
+
+// kill ends all nodes at once.
+func (f *callFleet) kill() {
+	f.cancel()
+	for _, address := range f.addresses {
+		f.net.Remove(address)
+	}
+}
+
+// checkCrashes checks what the nodes that have just started know of the request, from the
+// moment at which they send requests to their upstreams.
+func (f *callFleet) checkCrashes(t *testing.T, want string) {
+	t.Helper()
+	open := make(map[*Node]bool)
+	for end := time.Now().Add(startWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for i, n := range f.nodes {
+			now := time.Now()
+			if n.gate.Closed() || open[n] {
+				continue
+			}
+			open[n] = true
+			refused := n.crashes.QuarantineLeft(now, crashesUpstreams) > 0
+			assert.Check(t, refused == (want == "refused" || want == "late"), "node %d, refused: %v", i, refused)
+			if want == "suspect" {
+				assert.Check(t, n.crashes.Begin(now, crashesUpstreams, false))
+				assert.Check(t, !n.crashes.Begin(now, otherRequest, true), "node %d does not suspect the request", i)
+				n.crashes.End(crashesUpstreams, false)
+			}
+		}
+	}
+	assert.Equal(t, len(open), len(f.nodes), "nodes that serve")
+}
--- a/internal/process/node/evacuate_test.go
+++ b/internal/process/node/evacuate_test.go
@@ -60,7 +60,7 @@
 	case "restart":
 		f.stop()
 		f.start(t, false)
-		time.Sleep(evacuationsWait)
+		time.Sleep(startWait)
 		f.checkEvacuated(t, "restarted", want)
 	case "restored":
 		f.platform.Restore(backup)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -84,10 +84,13 @@
 	quota       *quota.Client
 	relay       *relay.Relay
 	reloaded    atomic.Pointer[reloadState]
+	saver       *crash.Saver
 	settings    atomic.Pointer[setup.Settings]
 	flushSpans  func(context.Context) error
 	stats       *stats.Stats
 	store       *store.Counted
+	// startWaitOver is true once the node no longer waits for what it must know at its start.
+	startWaitOver atomic.Bool
 	// storeFailed is true if the last call to the platform's store failed.
 	storeFailed atomic.Bool
 	table       *member.Table
@@ -184,7 +187,7 @@
 	}
 	n.mesh = links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source),
 		links.WithRefused(func(peer netip.AddrPort) { n.linkRefused(time.Now(), peer) }))
-	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored))
+	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored), snaps.WithChanged(func() { n.applyCrashes(time.Now()) }))
 	n.settings.Store(settings)
 	n.reloaded.Store(&reloadState{at: now})
 	n.secretStored = !settings.Secret.Known()
@@ -199,8 +202,8 @@
 	if n.evacuationsPrefix != "" {
 		n.zones = snaps.NewHolder(snaps.WithEvacuations(n.evacuationsPrefix), snaps.WithChanged(func() { n.applyEvacuations(time.Now()) }))
 		n.feeds = append(n.feeds, feed{firstStartDelay: evacuationsDelay, holder: n.zones, prefix: n.evacuationsPrefix, wait: evacuationsPollWait, watchers: watchersPerZone})
-		n.gate.SetClosed(true)
 	}
+	n.gate.SetClosed(!n.knowsStart())
 	holders := make([]*snaps.Holder, len(n.feeds))
 	for i, f := range n.feeds {
 		holders[i] = f.holder
@@ -208,7 +211,8 @@
 	n.upstream = newUpstream(n.gate, settings.Expiry, n.coldStart)
 	n.upstream.checked = n.checksUpstream() && !settings.FirstStart
 	n.agent = member.NewAgent(n.mesh, n.table, log, holders...)
-	n.crashes = crash.NewAgent(n.mesh, n.table, log)
+	n.saver = crash.NewSaver(settings.Zone, n.store, n.storedCrashes, log)
+	n.crashes = crash.NewAgent(n.mesh, n.table, log, crash.WithSaver(n.saver))
 	n.agent.Share(n.crashes)
 	n.quota = quota.NewClient(now, quota.Options{
 		Config: n.config,
@@ -345,6 +349,7 @@
 		"connections of callers":        n.reapConns,
 		"connections to nodes":          n.pool.Run,
 		"crashes":                       n.crashes.Run,
+		"crashes in the store":          n.saver.Run,
 		"evacuations":                   n.openGate,
 		"feeds":                         n.followAll,
 		"gate":                          n.gate.Run,
--- a/internal/process/node/storecalls_test.go
+++ b/internal/process/node/storecalls_test.go
@@ -18,12 +18,16 @@
 	"github.com/wasabibend/wasabibend/internal/fakes/mesh"
 	"github.com/wasabibend/wasabibend/internal/fakes/objapi"
 	"github.com/wasabibend/wasabibend/internal/pause"
+	"github.com/wasabibend/wasabibend/internal/process/crash"
+	"github.com/wasabibend/wasabibend/internal/process/gates"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/process/quota"
 	"github.com/wasabibend/wasabibend/internal/process/setup"
 	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/internal/request/relay"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/internal/version/snaps"
+	"github.com/wasabibend/wasabibend/pkg/admin"
 	"github.com/wasabibend/wasabibend/pkg/rows"
 )
 
@@ -160,7 +164,7 @@
 	f.stores[i] = f.platform.NewMemoryStore()
 	n := newFollowingNode(ctx, f.net.AddNode(settings.Peers), f.stores[i], settings)
 	f.nodes[i] = n
-	for _, loop := range []func(context.Context){n.agent.Run, n.followAll, n.maintainSeeds, n.quota.Run} {
+	for _, loop := range []func(context.Context){n.agent.Run, n.crashes.Run, n.followAll, n.maintainSeeds, n.openGate, n.quota.Run, n.saver.Run} {
 		go loop(ctx)
 	}
 }
@@ -179,7 +183,6 @@
 	n := &Node{
 		catalog:      snaps.NewHolder(snaps.WithCatalog(catalogKey, decodeVersion)),
 		catalogKey:   catalogKey,
-		config:       snaps.NewHolder(),
 		ctx:          ctx,
 		log:          zerolog.Nop(),
 		secretStored: true,
@@ -188,12 +191,21 @@
 		zones:        snaps.NewHolder(snaps.WithEvacuations(evacuationsPrefix)),
 	}
 	n.settings.Store(settings)
+	n.config = snaps.NewHolder(snaps.WithChanged(func() { n.applyCrashes(time.Now()) }))
+	n.gate = gates.NewGate(gates.Static(1))
+	n.relay = relay.New(relay.Options{})
+	n.upstream = newUpstream(n.gate, 24*time.Hour, n.coldStart)
+	n.upstream.announce(time.Now(), admin.Announcement{Born: time.Now(), Instance: "i-1", Sequence: 1, Service: "ledger"}, false)
+	n.saver = crash.NewSaver(settings.Zone, n.store, n.storedCrashes, n.log)
+	n.crashes = crash.NewAgent(net, n.table, n.log, crash.WithSaver(n.saver))
+	n.gate.SetClosed(!n.knowsStart())
 	n.feeds = []feed{
 		{holder: n.config, prefix: kinds.Root, wait: pollWait, watchers: watchersPerZone},
 		{checked: true, holder: n.catalog, prefix: "config/", wait: pollWait, watchers: watchersPerZone},
 		{firstStartDelay: evacuationsDelay, holder: n.zones, prefix: evacuationsPrefix, wait: evacuationsPollWait, watchers: watchersPerZone},
 	}
 	n.agent = member.NewAgent(net, n.table, n.log, n.config, n.catalog, n.zones)
+	n.agent.Share(n.crashes)
 	n.quota = quota.NewClient(time.Now(), quota.Options{
 		Config: n.config, Limits: func(quota.Key) (quota.Limit, bool) { return quota.Limit{}, false }, Log: n.log, Mesh: net,
 		Self: settings.Peers, Shards: 1, Store: n.store, Table: n.table, Zone: settings.Zone, Zones: []string{"zone0", "zone1", "zone2", "zone3", "zone4"},
--- a/internal/process/node/zones.go
+++ b/internal/process/node/zones.go
@@ -6,12 +6,15 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wasabibend/wasabibend/internal/process/store"
+	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
 
-// evacuationsWait is how long a node that starts keeps requests from the upstream beside
-// it until it knows which availability zones are evacuated. Without the platform's store
-// and peers that know, it then takes the zone as not evacuated.
-const evacuationsWait = 2 * time.Second
+// startWait is how long a node that starts keeps requests from the upstream beside it until
+// it knows which availability zones are evacuated and which requests are quarantined. Without
+// the platform's store and peers that know, it then sends it all of them.
+const startWait = 2 * time.Second
 
 // evacuationsDelay is how long a node waits at the first start of the whole fleet before
 // it reads which availability zones are evacuated.
@@ -75,26 +78,59 @@
 		n.logCold(now)
 		n.spawn("probe of the upstream", func() { n.probeCold(n.ctx) })
 	}
-	if n.gate.SetClosed(snapshot.Evacuated(own)) {
+	n.updateGate()
+}
+
+// applyCrashes takes over from the platform's store which requests have crashed upstreams.
+func (n *Node) applyCrashes(now time.Time) {
+	n.crashes.MergeStored(now, n.config.Snapshot().Crashes())
+	n.evacuations.applying.Lock()
+	defer n.evacuations.applying.Unlock()
+	n.updateGate()
+}
+
+// storedCrashes returns the object of the store with the crashes of the node's availability
+// zone, as the node knows it.
+func (n *Node) storedCrashes() store.Object {
+	return n.config.Object(kinds.CrashesKey(n.settings.Load().Zone))
+}
+
+// updateGate closes or opens the gate, by what the node knows. The caller holds
+// evacuations.applying.
+func (n *Node) updateGate() {
+	evacuated := n.zones != nil && n.zones.Snapshot().Evacuated(n.settings.Load().Zone)
+	waiting := !n.startWaitOver.Load() && !n.knowsStart()
+	if n.gate.SetClosed(evacuated || waiting) {
 		n.publishUpstream()
 	}
 }
 
+// knowsStart reports whether the node knows what it waits for at its start.
+func (n *Node) knowsStart() bool {
+	return n.zones == nil || n.zones.Snapshot().Revision() > 0 && n.knowsCrashes()
+}
+
+// knowsCrashes reports whether the node knows which requests crashed upstreams before it
+// started. At the first start of the whole fleet there are none. A node with a table has them
+// with the rows, without which it serves no callers.
+func (n *Node) knowsCrashes() bool {
+	return n.settings.Load().FirstStart || n.config.Snapshot().Revision() > 0
+}
+
 // openGate opens the gate, which is closed when the node starts, if the node has not
-// learned within evacuationsWait which availability zones are evacuated.
+// learned within startWait what it waits for.
 func (n *Node) openGate(ctx context.Context) {
-	if n.zones == nil || !sleep(ctx, evacuationsWait) {
+	if !sleep(ctx, startWait) {
 		return
 	}
 	n.evacuations.applying.Lock()
 	defer n.evacuations.applying.Unlock()
-	if n.zones.Snapshot().Revision() > 0 {
-		return
-	}
-	n.log.Warn().Msg("it is unknown which availability zones are evacuated")
-	if n.gate.SetClosed(false) {
-		n.publishUpstream()
+	n.startWaitOver.Store(true)
+	if !n.knowsStart() {
+		n.log.Warn().Bool("Crashes", n.knowsCrashes()).Bool("Evacuations", n.zones.Snapshot().Revision() > 0).
+			Msg("the node serves without knowing which availability zones are evacuated or which requests are quarantined")
 	}
+	n.updateGate()
 }
 
 // probeCold sends a health check to the upstream to learn whether it is cold.
--- a/internal/process/node/zones_test.go
+++ b/internal/process/node/zones_test.go
@@ -51,6 +51,8 @@
 		}
 		check("evacuations not known yet", true, 0, 0)
 		n.zones.Apply(snaps.Delta{Revision: 1})
+		check("crashes not known yet", true, 0, 0)
+		n.config.Apply(snaps.Delta{Revision: 1})
 		check("none", false, 0, 0)
 		evacuation("b", 2, []byte("{}"))
 		check("another zone", false, 0, 1)
@@ -76,7 +78,7 @@
 		n := newZoneNode(t)
 		defer n.cancel()
 		go n.openGate(n.ctx)
-		time.Sleep(evacuationsWait - time.Millisecond)
+		time.Sleep(startWait - time.Millisecond)
 		assert.Check(t, n.gate.Closed())
 		time.Sleep(2 * time.Millisecond)
 		assert.Check(t, !n.gate.Closed())
--- a/internal/version/snaps/builder.go
+++ b/internal/version/snaps/builder.go
@@ -14,8 +14,8 @@
 type builder struct {
 	snapshot *Snapshot
 
-	allocators, evacuated, keys, rows bool            // whether the map has been cloned
-	paths                             map[string]bool // paths whose index has been cloned
+	allocators, crashes, evacuated, keys, rows bool            // whether the map has been cloned
+	paths                                      map[string]bool // paths whose index has been cloned
 }
 
 // newBuilder returns a builder of the snapshot of a later position.
@@ -50,6 +50,8 @@
 		return b.putCatalog(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixAllocators):
 		return b.putAllocator(object, held)
+	case strings.HasPrefix(object.Key, kinds.PrefixCrashes):
+		return b.putCrashes(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixKeys):
 		return b.putKey(object, held)
 	case strings.HasPrefix(object.Key, kinds.PrefixRows):
@@ -88,6 +90,16 @@
 	return applied
 }
 
+func (b *builder) putCrashes(object store.Object) outcome {
+	var c kinds.Crashes
+	if kinds.DecodeCrashes(object.Key, object.Value, &c) != nil {
+		return invalid
+	}
+	cloneOnce(&b.crashes, &b.snapshot.crashes)
+	b.snapshot.crashes[c.Zone] = c
+	return applied
+}
+
 func (b *builder) putKey(object, held store.Object) outcome {
 	var k kinds.KeyObject
 	if kinds.Decode(object.Value, &k) != nil || kinds.KeyObjectKey(k.Hash) != object.Key {
--- a/internal/version/snaps/snapshot.go
+++ b/internal/version/snaps/snapshot.go
@@ -31,6 +31,7 @@
 	position   store.Position
 	allocators map[shardID]kinds.Allocator
 	catalog    *catalog                       // nil for none
+	crashes    map[string]kinds.Crashes       // by availability zone
 	evacuated  map[string]bool                // availability zones
 	keys       map[string]kinds.KeyObject     // by hash
 	rows       map[string]map[rowID]*rows.Row // by path
@@ -42,6 +43,7 @@
 func newSnapshot() *Snapshot {
 	return &Snapshot{
 		allocators: make(map[shardID]kinds.Allocator),
+		crashes:    make(map[string]kinds.Crashes),
 		keys:       make(map[string]kinds.KeyObject),
 		rows:       make(map[string]map[rowID]*rows.Row),
 	}
@@ -65,6 +67,12 @@
 	return a, ok
 }
 
+// Crashes returns the requests that have crashed upstreams, by availability zone. The map
+// must not be modified.
+func (s *Snapshot) Crashes() map[string]kinds.Crashes {
+	return s.crashes
+}
+
 // Customer returns the customer to which an API key was granted, or false for an
 // unknown or withdrawn key.
 func (s *Snapshot) Customer(key string) (string, bool) {
