Apply a configuration whatever one of its values is

Ruled out by the log: the revision reaches all nodes.

Change: values are taken one by one. One out of range counts as the nearest that is not, one of another type as left out; a route without a service and a tenant without a name are refused with 503, which is true (not run) and keeps them from another service. What counts depends on the value only, so that all nodes agree. Each is named in the log, status and metrics; objects of other kinds that cannot be read are logged with their key.

--- a/internal/cmdln/statuscmd.go
+++ b/internal/cmdln/statuscmd.go
@@ -77,7 +77,32 @@
 	if err := w.Flush(); err != nil {
 		return trace.Wrap(err)
 	}
-	return printEvacuations(c, statuses)
+	if err := printEvacuations(c, statuses); err != nil {
+		return err
+	}
+	return printProblems(c, statuses)
+}
+
+// printProblems prints the values of the configuration that could not be applied as they are,
+// and on how many of the nodes that answered.
+func printProblems(c *console, statuses []nodeStatus) error {
+	answered := 0
+	known := make(map[string]int)
+	for _, s := range statuses {
+		if s.Status == nil {
+			continue
+		}
+		answered++
+		for _, problem := range s.Status.Problems {
+			known[problem]++
+		}
+	}
+	for _, problem := range slices.Sorted(maps.Keys(known)) {
+		if _, err := fmt.Fprintf(c.out, "configuration: %s (%d of %d nodes)\n", problem, known[problem], answered); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
 }
 
 // printEvacuations prints which availability zones are evacuated, how many of the nodes
--- a/internal/cmdln/statuscmd_test.go
+++ b/internal/cmdln/statuscmd_test.go
@@ -12,7 +12,8 @@
 
 // TestPrintStatus guards against a status that does not show which nodes have not taken
 // the newest version of the settings file, and why, or which nodes are behind in a store
-// that was restored from an older copy, or do not know of an evacuation.
+// that was restored from an older copy, or do not know of an evacuation, or which values of
+// the configuration could not be applied.
 func TestPrintStatus(t *testing.T) {
 	loaded := time.Unix(1000, 0)
 	node := func(n byte, settings admin.Settings) nodeStatus {
@@ -24,6 +25,7 @@
 	knowing, first := node(7, restored.Status.Settings), node(8, restored.Status.Settings)
 	knowing.Status.Evacuated = map[string]time.Time{"a": loaded.Add(time.Second), "b": loaded}
 	first.Status.Evacuated = map[string]time.Time{"a": loaded}
+	first.Status.Problems = []string{`routes[3] "browse": timeout_ms: "soon" is not a number, counts as left out`}
 	var out strings.Builder
 	if err := printStatus(&console{out: &out}, []nodeStatus{
 		node(1, admin.Settings{Digest: "3f2a9c", LoadedAt: loaded.Add(time.Minute)}),
--- a/internal/process/node/admin.go
+++ b/internal/process/node/admin.go
@@ -52,11 +52,25 @@
 	control.Add("SilentLinks", traffic.SilentLinks.Load())
 	all.Set("Control", control)
 	all.Set("ClosedConns", n.conns.Closed())
+	all.Set("Configuration", n.configurationMetrics())
 	all.Set("Tokens", n.quota.Asks())
 	all.Set("StoreCalls", n.store.Calls())
 	return all
 }
 
+// configurationMetrics returns how many values of the catalog in force could not be applied as
+// they are, and how many versions of objects could not be read.
+func (n *Node) configurationMetrics() *expvar.Map {
+	metrics := new(expvar.Map).Init()
+	rejected := n.config.Rejected()
+	if n.catalog != nil {
+		rejected += n.catalog.Rejected()
+		metrics.Add("Problems", int64(len(n.catalog.Snapshot().CatalogProblems())))
+	}
+	metrics.Add("Rejected", int64(rejected))
+	return metrics
+}
+
 // status returns the state of the node at the time now.
 func (n *Node) status(now time.Time) *admin.Status {
 	self := n.table.Self()
@@ -85,6 +99,10 @@
 	}
 	if n.catalog != nil {
 		status.Catalog = n.catalog.Snapshot().CatalogVersion()
+		status.Rejected += n.catalog.Rejected()
+		for _, p := range n.catalog.Snapshot().CatalogProblems() {
+			status.Problems = append(status.Problems, p.String())
+		}
 	}
 	if age, known := n.config.Age(now); known {
 		status.AgeMS = age.Milliseconds()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -75,20 +75,22 @@
 	dialect     relay.Dialect   // nil for the native dialect
 	feeds       []feed
 	leaving     atomic.Bool
-	gate        *gates.Gate
-	log         zerolog.Logger
-	mesh        *links.Mesh
-	offers      *offers
-	requestLog  *relay.RequestLog
-	pool        *pool.Pool
-	quota       *quota.Client
-	relay       *relay.Relay
-	reloaded    atomic.Pointer[reloadState]
-	saver       *crash.Saver
-	settings    atomic.Pointer[setup.Settings]
-	flushSpans  func(context.Context) error
-	stats       *stats.Stats
-	store       *store.Counted
+	// loggedCatalog is the version of the catalog's object whose problems were logged last.
+	loggedCatalog atomic.Uint64
+	gate          *gates.Gate
+	log           zerolog.Logger
+	mesh          *links.Mesh
+	offers        *offers
+	requestLog    *relay.RequestLog
+	pool          *pool.Pool
+	quota         *quota.Client
+	relay         *relay.Relay
+	reloaded      atomic.Pointer[reloadState]
+	saver         *crash.Saver
+	settings      atomic.Pointer[setup.Settings]
+	flushSpans    func(context.Context) error
+	stats         *stats.Stats
+	store         *store.Counted
 	// startWaitOver is true once the node no longer waits for what it must know at its start.
 	startWaitOver atomic.Bool
 	// storeFailed is true if the last call to the platform's store failed.
@@ -187,7 +189,7 @@
 	}
 	n.mesh = links.NewMesh(ctx, settings.Peers, settings.Secret, links.WithLog(log), links.WithSource(settings.Source),
 		links.WithRefused(func(peer netip.AddrPort) { n.linkRefused(time.Now(), peer) }))
-	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored), snaps.WithChanged(func() { n.applyCrashes(time.Now()) }))
+	n.config = snaps.NewHolder(snaps.WithRestored(n.storeRestored), snaps.WithRejected(n.logRejection), snaps.WithChanged(func() { n.applyCrashes(time.Now()) }))
 	n.settings.Store(settings)
 	n.reloaded.Store(&reloadState{at: now})
 	n.secretStored = !settings.Secret.Known()
@@ -196,7 +198,7 @@
 	}
 	n.feeds = []feed{{holder: n.config, prefix: kinds.Root, wait: pollWait, watchers: watchersPerZone}}
 	if n.catalogDecoder != nil {
-		n.catalog = snaps.NewHolder(snaps.WithCatalog(n.catalogKey, n.catalogDecoder), snaps.WithChanged(func() { n.catalogChanged(time.Now()) }))
+		n.catalog = snaps.NewHolder(snaps.WithCatalog(n.catalogKey, n.catalogDecoder), snaps.WithRejected(n.logRejection), snaps.WithChanged(func() { n.catalogChanged(time.Now()) }))
 		n.feeds = append(n.feeds, feed{checked: true, holder: n.catalog, prefix: n.catalogPrefix, wait: pollWait, watchers: watchersPerZone})
 	}
 	if n.evacuationsPrefix != "" {
@@ -266,54 +268,6 @@
 	return n, nil
 }
 
-// limitOf returns the rate limit of a customer on a route by the configuration in
-// force: that of the table's row, or that of the customer in the catalog, which does
-// not depend on the route. It returns false if there is no limit for the key.
-func (n *Node) limitOf(key quota.Key) (quota.Limit, bool) {
-	if n.catalog == nil {
-		row := n.config.Snapshot().Row(key.Route, key.Customer)
-		if row == nil {
-			return quota.Limit{}, false
-		}
-		return quota.Limit{Burst: row.Burst, Rate: row.Rate}, true
-	}
-	customer, ok := n.catalog.Snapshot().CustomerByName(key.Customer)
-	if !ok || customer.Rate <= 0 {
-		return quota.Limit{}, false
-	}
-	return quota.Limit{Burst: customer.Burst, Rate: customer.Rate}, true
-}
-
-// catalogChanged takes over from the catalog what cold upstreams take, and the idle timeout
-// of callers' connections.
-func (n *Node) catalogChanged(now time.Time) {
-	n.updateIdleTimeout()
-	n.upstream.refreshCold(now)
-	n.logCold(now)
-}
-
-// updateIdleTimeout takes over the idle timeout of the catalog in force, or idleTimeout if it
-// has none. Of two calls at once, one may do so with that of an earlier catalog.
-func (n *Node) updateIdleTimeout() {
-	limit := idleTimeout
-	if n.catalog != nil {
-		if configured := n.catalog.Snapshot().Limits().IdleTimeout; configured > 0 {
-			limit = configured
-		}
-	}
-	n.conns.SetIdleTimeout(limit)
-}
-
-// coldStart returns how the upstreams of a service are after a start, by the catalog in
-// force.
-func (n *Node) coldStart(service string) gates.ColdStart {
-	if n.catalog == nil {
-		return gates.ColdStart{}
-	}
-	info := n.catalog.Snapshot().ServiceInfo(service)
-	return gates.ColdStart{PerSecond: info.ColdRate, Time: info.ColdTime}
-}
-
 // Ready reports whether the node accepts requests: it has a configuration and is not
 // leaving. With a catalog it must have the secret of the fleet, too.
 func (n *Node) Ready() bool {
--- a/internal/request/relay/policy.go
+++ b/internal/request/relay/policy.go
@@ -118,6 +118,9 @@
 	if !ok {
 		return policy{}, refuse.New(refuse.RouteUnknown, 0, "no route is for this host and path")
 	}
+	if route.Unusable != "" {
+		return policy{route: route.Name}, refuse.New(refuse.NoConfiguration, defaultRetryAfter, "the route's entry in the configuration cannot be applied: %s", route.Unusable)
+	}
 	p := policy{
 		maxAttempts: route.Attempts,
 		idempotent:  route.Idempotent,
@@ -159,6 +162,9 @@
 	if !ok {
 		return policy{}, refuse.New(refuse.KeyRejected, 0, "the key is unknown or withdrawn")
 	}
+	if customer.Unusable != "" {
+		return policy{}, refuse.New(refuse.NoConfiguration, defaultRetryAfter, "the customer's entry in the configuration cannot be applied: %s", customer.Unusable)
+	}
 	p.customer = customer.Name
 	p.regions = intersectRegions(p.regions, customer.Regions)
 	if customer.Ranked {
--- a/internal/version/snaps/builder.go
+++ b/internal/version/snaps/builder.go
@@ -1,9 +1,12 @@
 package snaps
 
 import (
+	"errors"
 	"maps"
 	"strings"
 
+	"github.com/gravitational/trace"
+
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 	"github.com/wasabibend/wasabibend/pkg/rows"
@@ -25,27 +28,20 @@
 	return &builder{paths: make(map[string]bool), snapshot: &next}
 }
 
-// outcome tells what became of an object that was applied to a builder.
-type outcome int
-
-const (
-	// applied means that the object is in force, or that it is ignored.
-	applied outcome = iota
-	// invalid means that the value does not decode. The previous one stays in force.
-	invalid
-	// superseded means that the value held is newer, and stays in force.
-	superseded
-)
+// errSuperseded means that the value held for a key is newer than an applied one, and stays
+// in force.
+var errSuperseded = errors.New("the value held is newer")
 
 // apply decodes an object and adds it to the snapshot, unless its value is invalid or
 // older than the one held for its key. Objects of kinds that this version does not know are
-// ignored, and so are deleted ones, except that a deleted evacuation ends.
-func (b *builder) apply(object, held store.Object) outcome {
+// ignored, and so are deleted ones, except that a deleted evacuation ends. The error says why
+// the value held stays in force.
+func (b *builder) apply(object, held store.Object) error {
 	switch {
 	case b.snapshot.isEvacuation(object.Key):
 		return b.putEvacuation(object)
 	case object.Value == nil:
-		return applied
+		return nil
 	case b.snapshot.isCatalog(object.Key):
 		return b.putCatalog(object)
 	case strings.HasPrefix(object.Key, kinds.PrefixAllocators):
@@ -57,7 +53,7 @@
 	case strings.HasPrefix(object.Key, kinds.PrefixRows):
 		return b.putRow(object, held)
 	}
-	return applied
+	return nil
 }
 
 // ordered is a kind of object whose values tell which of two is the older one.
@@ -77,49 +73,55 @@
 	return kinds.Decode(held.Value, P(&newer)) == nil && value.Before(&newer)
 }
 
-func (b *builder) putAllocator(object, held store.Object) outcome {
+func (b *builder) putAllocator(object, held store.Object) error {
 	var a kinds.Allocator
-	if kinds.DecodeAllocator(object.Key, object.Value, &a) != nil {
-		return invalid
+	if err := kinds.DecodeAllocator(object.Key, object.Value, &a); err != nil {
+		return trace.Wrap(err)
 	}
 	if isSuperseded(&a, held) {
-		return superseded
+		return errSuperseded
 	}
 	cloneOnce(&b.allocators, &b.snapshot.allocators)
 	b.snapshot.allocators[shardID{a.Zone, a.Shard}] = a
-	return applied
+	return nil
 }
 
-func (b *builder) putCrashes(object store.Object) outcome {
+func (b *builder) putCrashes(object store.Object) error {
 	var c kinds.Crashes
-	if kinds.DecodeCrashes(object.Key, object.Value, &c) != nil {
-		return invalid
+	if err := kinds.DecodeCrashes(object.Key, object.Value, &c); err != nil {
+		return trace.Wrap(err)
 	}
 	cloneOnce(&b.crashes, &b.snapshot.crashes)
 	b.snapshot.crashes[c.Zone] = c
-	return applied
+	return nil
 }
 
-func (b *builder) putKey(object, held store.Object) outcome {
+func (b *builder) putKey(object, held store.Object) error {
 	var k kinds.KeyObject
-	if kinds.Decode(object.Value, &k) != nil || kinds.KeyObjectKey(k.Hash) != object.Key {
-		return invalid
+	if err := kinds.Decode(object.Value, &k); err != nil {
+		return trace.Wrap(err)
+	}
+	if kinds.KeyObjectKey(k.Hash) != object.Key {
+		return trace.BadParameter("the key object is of another key")
 	}
 	if isSuperseded(&k, held) {
-		return superseded
+		return errSuperseded
 	}
 	cloneOnce(&b.keys, &b.snapshot.keys)
 	b.snapshot.keys[k.Hash] = k
-	return applied
+	return nil
 }
 
-func (b *builder) putRow(object, held store.Object) outcome {
+func (b *builder) putRow(object, held store.Object) error {
 	var r kinds.RowObject
-	if kinds.Decode(object.Value, &r) != nil || kinds.RowKey(r.Row.Route, r.Row.Customer) != object.Key {
-		return invalid
+	if err := kinds.Decode(object.Value, &r); err != nil {
+		return trace.Wrap(err)
+	}
+	if kinds.RowKey(r.Row.Route, r.Row.Customer) != object.Key {
+		return trace.BadParameter("the row is that of route %q and customer %q", r.Row.Route, r.Row.Customer)
 	}
 	if isSuperseded(&r, held) {
-		return superseded
+		return errSuperseded
 	}
 	cloneOnce(&b.rows, &b.snapshot.rows)
 	path := r.Row.Path()
@@ -140,7 +142,7 @@
 	if len(b.snapshot.rows[path]) == 0 {
 		delete(b.snapshot.rows, path)
 	}
-	return applied
+	return nil
 }
 
 // cloneOnce clones a map unless it has been cloned already.
--- a/internal/version/snaps/catalog.go
+++ b/internal/version/snaps/catalog.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"github.com/gravitational/trace"
+
 	"github.com/wasabibend/wasabibend/internal/process/store"
 	"github.com/wasabibend/wasabibend/pkg/rows"
 )
@@ -33,6 +35,7 @@
 type catalog struct {
 	customersByKey  map[string]*rows.Customer // by API key
 	limits          rows.Limits
+	problems        []rows.Problem
 	customersByName map[string]*rows.Customer
 	routes          map[string][]*rows.Route // by host, longest prefix first
 	services        []rows.ServiceInfo
@@ -43,6 +46,7 @@
 	index := &catalog{
 		customersByKey:  make(map[string]*rows.Customer),
 		limits:          c.Limits,
+		problems:        c.Problems,
 		customersByName: make(map[string]*rows.Customer, len(c.Customers)),
 		routes:          make(map[string][]*rows.Route),
 		services:        c.Services,
@@ -50,7 +54,9 @@
 	}
 	for i := range c.Customers {
 		customer := &c.Customers[i]
-		index.customersByName[customer.Name] = customer
+		if customer.Unusable == "" {
+			index.customersByName[customer.Name] = customer
+		}
 		for _, key := range customer.Keys {
 			index.customersByKey[key] = customer
 		}
@@ -84,6 +90,15 @@
 	return s.catalog.version
 }
 
+// CatalogProblems returns the values of the catalog in force that could not be applied as they
+// are. The slice must not be modified.
+func (s *Snapshot) CatalogProblems() []rows.Problem {
+	if s.catalog == nil {
+		return nil
+	}
+	return s.catalog.problems
+}
+
 // HealthPath returns the path of the health check of a service's upstreams, or
 // an empty string if the catalog has no such service or no path for it.
 func (s *Snapshot) HealthPath(service string) string {
@@ -159,15 +174,19 @@
 	return s.source != nil && s.source.key == key
 }
 
-// putCatalog replaces the catalog unless the current one has a higher version.
-func (b *builder) putCatalog(object store.Object) outcome {
+// putCatalog replaces the catalog unless the current one has a higher version. One whose
+// version could not be read gets that of the current one.
+func (b *builder) putCatalog(object store.Object) error {
 	decoded, err := b.snapshot.source.decode(object.Value)
 	if err != nil {
-		return invalid
+		return trace.Wrap(err)
+	}
+	if decoded.Version == 0 {
+		decoded.Version = max(b.snapshot.CatalogVersion(), 1)
 	}
 	if decoded.Version < b.snapshot.CatalogVersion() {
-		return superseded
+		return errSuperseded
 	}
 	b.snapshot.catalog = newCatalog(decoded)
-	return applied
+	return nil
 }
--- a/internal/version/snaps/evacuations.go
+++ b/internal/version/snaps/evacuations.go
@@ -42,7 +42,7 @@
 }
 
 // putEvacuation records that a zone is evacuated, or no longer if the object is deleted.
-func (b *builder) putEvacuation(object store.Object) outcome {
+func (b *builder) putEvacuation(object store.Object) error {
 	if b.snapshot.evacuated == nil {
 		b.snapshot.evacuated = make(map[string]bool)
 	}
@@ -50,10 +50,10 @@
 	zone := strings.TrimPrefix(object.Key, b.snapshot.evacuationsPrefix)
 	if object.Value == nil {
 		delete(b.snapshot.evacuated, zone)
-		return applied
+		return nil
 	}
 	b.snapshot.evacuated[zone] = true
-	return applied
+	return nil
 }
 
 // addRemoved adds to a delta from the beginning of the store's history the evacuations
--- a/internal/version/snaps/holder.go
+++ b/internal/version/snaps/holder.go
@@ -1,6 +1,7 @@
 package snaps
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -43,8 +44,9 @@
 // those of the earlier era, except where the value held is newer by the order of its own
 // kind: that stays in force until the store has one that is as new again.
 type Holder struct {
-	onChanged  func() // nil for none
-	onRestored func() // nil for none
+	onChanged  func()          // nil for none
+	onRejected func(Rejection) // nil for none
+	onRestored func()          // nil for none
 	snapshot   atomic.Pointer[Snapshot]
 
 	mu       sync.Mutex
@@ -55,6 +57,14 @@
 	retained int // versions that were older than the value held
 }
 
+// Rejection tells of a version of an object that could not be decoded. The one before it, if
+// any, stays in force.
+type Rejection struct {
+	Err     error
+	Key     string
+	Version uint64
+}
+
 // NewHolder returns a Holder with an empty snapshot.
 func NewHolder(options ...Option) *Holder {
 	h := &Holder{objects: make(map[string]store.Object)}
@@ -76,6 +86,12 @@
 	return func(h *Holder) { h.onChanged = f }
 }
 
+// WithRejected makes the Holder call a function for each version of an object that could not
+// be decoded.
+func WithRejected(f func(Rejection)) Option {
+	return func(h *Holder) { h.onRejected = f }
+}
+
 // Snapshot returns the snapshot in force.
 func (h *Holder) Snapshot() *Snapshot {
 	return h.snapshot.Load()
@@ -91,8 +107,13 @@
 		return false
 	}
 	restored := h.position.Revision > 0 && delta.Era != h.position.Era
-	h.apply(delta)
+	rejections := h.apply(delta)
 	h.mu.Unlock()
+	if h.onRejected != nil {
+		for _, r := range rejections {
+			h.onRejected(r)
+		}
+	}
 	if restored && h.onRestored != nil {
 		h.onRestored()
 	}
@@ -102,29 +123,32 @@
 	return true
 }
 
-// apply applies a delta that continues the current position. The caller holds the lock.
-func (h *Holder) apply(delta Delta) {
+// apply applies a delta that continues the current position, and returns the objects that
+// could not be decoded. The caller holds the lock.
+func (h *Holder) apply(delta Delta) []Rejection {
 	if delta.Era != h.position.Era {
 		h.clearVersions()
 	}
 	h.addRemoved(&delta)
 	h.position = store.Position{Era: delta.Era, Revision: delta.Revision}
 	next := h.snapshot.Load().newBuilder(h.position)
+	var rejections []Rejection
 	for _, object := range delta.Objects {
 		held := h.objects[object.Key]
 		if object.Version <= held.Version {
 			continue
 		}
-		switch next.apply(object, held) {
-		case invalid:
-			h.rejected++
-		case superseded:
+		if err := next.apply(object, held); errors.Is(err, errSuperseded) {
 			h.retained++
 			object.Value = held.Value
+		} else if err != nil {
+			h.rejected++
+			rejections = append(rejections, Rejection{Err: err, Key: object.Key, Version: object.Version})
 		}
 		h.objects[object.Key] = object
 	}
 	h.snapshot.Store(next.snapshot)
+	return rejections
 }
 
 // continues reports whether a delta leads from the current position to a later one
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -104,6 +104,9 @@
 	Members   []Member
 	Peers     netip.AddrPort
 	Readiness string
+	// Problems are the values of the catalog in force that could not be applied as they are,
+	// each with its entry and what counts instead.
+	Problems []string `json:",omitempty"`
 	// Refusals are the numbers of refusals by cause.
 	Refusals map[string]int64
 	// Rejected is the number of versions of objects that could not be decoded.
--- a/pkg/rows/catalog.go
+++ b/pkg/rows/catalog.go
@@ -20,18 +20,18 @@
 type Catalog struct {
 	Customers []Customer
 	Limits    Limits
-	Routes    []Route
-	Services  []ServiceInfo
-	// Version is higher in a later catalog, and never 0.
+	// Problems are the values of the configuration that could not be applied as they are.
+	Problems []Problem
+	Routes   []Route
+	Services []ServiceInfo
+	// Version is higher in a later catalog. It is 0 if it could not be read: the catalog then
+	// has that of the one that it replaces.
 	Version uint64
 }
 
 // Check returns an error that names the first invalid entry, or two customers that
 // have a key in common.
 func (c *Catalog) Check() error {
-	if c.Version == 0 {
-		return trace.BadParameter("Version: want more than 0")
-	}
 	for i := range c.Routes {
 		if err := c.Routes[i].Check(); err != nil {
 			return trace.BadParameter("Routes: %q: %v", c.Routes[i].Name, err)
@@ -58,6 +58,24 @@
 	return nil
 }
 
+// Problem is a value of a configuration that could not be applied as it is.
+type Problem struct {
+	// Detail says what is wrong, and what counts instead.
+	Detail string
+	// Entry names the entry, for example routes[3] "browse".
+	Entry string
+	// Field is the name of the value's field, empty for the whole entry.
+	Field string
+}
+
+// String returns the problem in one line.
+func (p Problem) String() string {
+	if p.Field == "" {
+		return p.Entry + ": " + p.Detail
+	}
+	return p.Entry + ": " + p.Field + ": " + p.Detail
+}
+
 // Limits holds the limits for the requests and connections of callers.
 type Limits struct {
 	// BodyBytes and HeaderBytes are the maximum sizes of a request's body and header,
@@ -105,7 +123,7 @@
 	Objective time.Duration
 	// Open lets requests without a key use the route.
 	Open bool
-	// Prefix is the prefix of the requests' paths. It begins and ends with a slash.
+	// Prefix is the prefix of the requests' paths. It begins with a slash.
 	Prefix string
 	// Regions are the regions in which requests may be served, empty for all.
 	Regions []string
@@ -113,6 +131,8 @@
 	Shares []Share
 	// Timeout limits the time until the whole response has been sent.
 	Timeout time.Duration
+	// Unusable says why requests of the route are refused, empty if they are not.
+	Unusable string
 }
 
 // Check returns an error that names the first field with an invalid value.
@@ -120,8 +140,8 @@
 	switch {
 	case r.Host == "":
 		return trace.BadParameter("Host is missing")
-	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return trace.BadParameter("Prefix %q: want a slash at both ends", r.Prefix)
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return trace.BadParameter("Prefix %q: want a slash at its beginning", r.Prefix)
 	case r.Attempts < 1 || r.Attempts > MaxAttempts:
 		return trace.BadParameter("Attempts %d: want 1 to %d", r.Attempts, MaxAttempts)
 	case r.Importance < 0 || r.Importance > MaxImportance:
@@ -131,6 +151,9 @@
 	case r.Timeout <= 0 || r.Timeout > MaxTimeout:
 		return trace.BadParameter("Timeout %v: want more than 0 and at most %v", r.Timeout, MaxTimeout)
 	}
+	if r.Unusable != "" {
+		return nil
+	}
 	return r.checkShares()
 }
 
@@ -172,12 +195,14 @@
 	// Regions are the regions in which the customer's requests may be served, empty for
 	// all. Those of the route restrict them further.
 	Regions []string
+	// Unusable says why the customer's requests are refused, empty if they are not.
+	Unusable string
 }
 
 // Check returns an error that names the first field with an invalid value.
 func (c *Customer) Check() error {
 	switch {
-	case c.Name == "":
+	case c.Name == "" && c.Unusable == "":
 		return trace.BadParameter("Name is missing")
 	case !(c.Rate >= 0) || !(c.Burst >= 0):
 		return trace.BadParameter("Rate and Burst: want 0 or more")
