Convict suspects by single runs, and let a success end a quarantine

Cause: the suspect in flight was kept by its fingerprint and given up once no equal request was in flight, which a popular path never reaches; the next crash convicted it, hundreds of successes later. Meanwhile all other suspects were refused. Ruled out: suspicions that outlive a success beside the node.

Related: a report made a request a suspect where it had succeeded before; a success was known beside one node only; a path in flight everywhere is convicted when both crashes come before its first success.

Change: Begin returns a Run. Equal suspects run together, and make room once another suspect was refused. A success clears a suspect on all nodes (collected for 100 ms into one report), and ends a quarantine: it refutes it, as a request that crashes upstreams never succeeds. What was released is exchanged and stored, so it does not come back.

--- a/internal/process/crash/agent.go
+++ b/internal/process/crash/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 // tables may differ for long.
 const exchangeInterval = time.Second
 
+// clearDelay is the time for which cleared requests are collected into one report.
+const clearDelay = 100 * time.Millisecond
+
 // Mesh sends messages between nodes.
 type Mesh interface {
 	Call(ctx context.Context, to netip.AddrPort, kind wire.Kind, request any, answer wire.Checker) error
@@ -43,9 +47,10 @@
 	queue   chan Report
 	saver   *Saver // nil for none
 
-	mu          sync.Mutex // acquired before the table's
-	exchanged   bool       // an exchange has succeeded since the start
-	exchangedAt time.Time  // when the last exchange was begun
+	mu          sync.Mutex    // acquired before the table's
+	cleared     []Fingerprint // to be reported
+	exchanged   bool          // an exchange has succeeded since the start
+	exchangedAt time.Time     // when the last exchange was begun
 }
 
 // Option configures an Agent in NewAgent.
@@ -59,6 +64,7 @@
 // NewAgent returns an Agent and registers its handler with the mesh.
 func NewAgent(mesh Mesh, members *member.Table, log zerolog.Logger, options ...Option) *Agent {
 	a := &Agent{Table: NewTable(), log: log, members: members, mesh: mesh, queue: make(chan Report, maxQueued)}
+	a.onCleared = a.queueCleared
 	for _, option := range options {
 		option(a)
 	}
@@ -79,6 +85,37 @@
 	}
 }
 
+// queueCleared makes the agent tell other nodes within clearDelay that a request has succeeded
+// which was a suspect or quarantined.
+func (a *Agent) queueCleared(now time.Time, f Fingerprint) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.cleared) < maxReportEntries {
+		a.cleared = append(a.cleared, f)
+	}
+	if len(a.cleared) == 1 {
+		time.AfterFunc(clearDelay, func() { a.reportCleared(now.Add(clearDelay)) })
+	}
+}
+
+// reportCleared reports the requests that have been cleared to the other nodes, and those that
+// are in the platform's store.
+func (a *Agent) reportCleared(now time.Time) {
+	a.mu.Lock()
+	report := Report{Cleared: a.cleared}
+	a.cleared = nil
+	a.mu.Unlock()
+	a.enqueue(report)
+	released := slices.DeleteFunc(slices.Clone(report.Cleared), func(f Fingerprint) bool { return !a.wasReleased(now, f) })
+	if len(released) == 0 {
+		return
+	}
+	a.log.Warn().Int("Requests", len(released)).Msg("released quarantined requests that succeeded")
+	if a.saver != nil {
+		a.saver.Add(now, Report{Cleared: released})
+	}
+}
+
 // MergeStored adds what the platform's store has of the crashes of availability zones, and
 // logs what was new.
 func (a *Agent) MergeStored(now time.Time, stored map[string]kinds.Crashes) {
@@ -129,7 +166,7 @@
 	a.exchangedAt = now
 	a.mu.Unlock()
 	var theirs State
-	if err := a.mesh.Call(ctx, peer, wire.KindCrashes, State{Quarantined: a.State(now).Quarantined}, &theirs); err != nil {
+	if err := a.mesh.Call(ctx, peer, wire.KindCrashes, a.requestState(now), &theirs); err != nil {
 		return trace.Wrap(err)
 	}
 	a.mu.Lock()
@@ -139,6 +176,13 @@
 	return nil
 }
 
+// requestState returns the state for a request, which has no suspects.
+func (a *Agent) requestState(now time.Time) State {
+	s := a.State(now)
+	s.Suspects = nil
+	return s
+}
+
 // mergeState adds the state of another node and logs what was new.
 func (a *Agent) mergeState(now time.Time, peer netip.AddrPort, s *State, suspects bool) {
 	if added := a.MergeState(now, s, suspects); added > 0 {
--- a/internal/process/crash/agent_test.go
+++ b/internal/process/crash/agent_test.go
@@ -118,9 +118,10 @@
 func (f *crashFleet) crash(t *testing.T, i int) {
 	for range 2 {
 		now := time.Now()
-		assert.Check(t, f.nodes[i].Begin(now, guilty, false))
+		run := f.nodes[i].Begin(now, guilty, false)
+		assert.Check(t, run != nil)
 		f.nodes[i].ReportCrash(now)
-		f.nodes[i].End(guilty, false)
+		f.nodes[i].End(now, run, false)
 		time.Sleep(crashDebounce)
 	}
 	assert.Check(t, f.nodes[i].QuarantineLeft(time.Now(), guilty) > 0)
@@ -205,13 +206,13 @@
 		time.Sleep(5 * time.Second)
 		now := time.Now()
 		for suspect := range Fingerprint(2) {
-			assert.Check(t, f.nodes[0].Begin(now, suspect, false))
+			assert.Check(t, f.nodes[0].Begin(now, suspect, false) != nil)
 		}
 		f.nodes[0].ReportCrash(now)
 		time.Sleep(time.Second)
 		f.start(t, 2)
-		assert.Check(t, f.nodes[2].Begin(time.Now(), 0, false))
-		assert.Check(t, !f.nodes[2].Begin(time.Now(), 1, false), "two suspects run at a time")
+		assert.Check(t, f.nodes[2].Begin(time.Now(), 0, false) != nil)
+		assert.Check(t, f.nodes[2].Begin(time.Now(), 1, false) == nil, "two suspects run at a time")
 		cancel()
 		time.Sleep(time.Minute)
 	})
--- a/internal/process/crash/crash.go
+++ b/internal/process/crash/crash.go
@@ -5,11 +5,14 @@
 // its node reports them to all nodes. A suspect that is in flight at a second
 // crash is quarantined. Requests that merely ran at the same time as the one that
 // caused the crash must not be quarantined with it. A node therefore runs only
-// one suspect at a time, clears a suspect once it succeeds there, and does not
-// suspect a request if an equal one recently succeeded there.
+// suspects that are equal at a time, and does not suspect a request if an equal one
+// recently succeeded there. A success anywhere in the fleet clears a suspect, and ends
+// the quarantine of a request that was in flight elsewhere when it was quarantined:
+// a request that crashes upstreams never succeeds.
 package crash
 
 import (
+	"math/bits"
 	"sync"
 	"time"
 
@@ -44,11 +47,13 @@
 	// Guilty are the requests to quarantine. Suspects are those that were in flight
 	// at a crash for the first time.
 	Guilty, Suspects []Fingerprint
+	// Cleared are the requests that have succeeded since.
+	Cleared []Fingerprint `cbor:",omitempty"`
 }
 
 // Check implements wire.Checker.
 func (r *Report) Check() error {
-	if len(r.Guilty)+len(r.Suspects) > maxReportEntries {
+	if len(r.Cleared)+len(r.Guilty)+len(r.Suspects) > maxReportEntries {
 		return trace.BadParameter("crash report has more than %d fingerprints", maxReportEntries)
 	}
 	return nil
@@ -72,6 +77,8 @@
 // State is what a node knows about requests that crash upstreams, for nodes that may lack
 // some of it.
 type State struct {
+	// Cleared are the requests that were quarantined and have succeeded since.
+	Cleared     []Entry `cbor:",omitempty"`
 	Quarantined []Entry
 	// Suspects are left out in a request.
 	Suspects []Entry `cbor:",omitempty"`
@@ -79,10 +86,10 @@
 
 // Check implements wire.Checker.
 func (s *State) Check() error {
-	if len(s.Quarantined)+len(s.Suspects) > maxReportEntries {
+	if len(s.Cleared)+len(s.Quarantined)+len(s.Suspects) > maxReportEntries {
 		return trace.BadParameter("crash state has more than %d fingerprints", maxReportEntries)
 	}
-	for _, entries := range [][]Entry{s.Quarantined, s.Suspects} {
+	for _, entries := range [][]Entry{s.Cleared, s.Quarantined, s.Suspects} {
 		for i := range entries {
 			if err := entries[i].Check(); err != nil {
 				return trace.Wrap(err)
@@ -92,33 +99,48 @@
 	return nil
 }
 
+// Run is a request in flight at the local upstream.
+type Run struct {
+	fingerprint Fingerprint
+	turn        *turn // nil if the request was no suspect when it began
+}
+
+// turn is the right to run a suspect, and requests equal to it, while no other suspect runs.
+type turn struct {
+	fingerprint Fingerprint
+	runs        int  // in flight
+	wanted      bool // another suspect was refused, so no more runs may begin
+}
+
 // Table holds the suspects, the quarantined requests and the requests in flight
 // at the local upstream. No other lock is acquired while its lock is held.
 type Table struct {
-	mu        sync.Mutex
+	onCleared func(now time.Time, f Fingerprint) // called when End clears a request; nil for none
+
+	mu sync.Mutex
+	// cleared holds the requests that were quarantined and have succeeded since, and when.
+	cleared   map[Fingerprint]time.Time
 	crashedAt time.Time
 	// heard holds the suspects of which other nodes have told, or have been told, and when.
-	heard           map[Fingerprint]time.Time
-	quarantined     map[Fingerprint]time.Time // and when each was added
-	inFlight        map[Fingerprint]int       // number of equal requests
-	suspectInFlight *Fingerprint              // nil for none
-	suspects        map[Fingerprint]time.Time // and when each was added
-	// succeeded holds the requests that succeeded recently in two generations, the
-	// newer one first.
-	succeeded [2]map[Fingerprint]struct{}
+	heard       map[Fingerprint]time.Time
+	inFlight    map[Fingerprint]int       // number of equal requests
+	quarantined map[Fingerprint]time.Time // and when each was added
+	// succeeded holds the requests that succeeded recently, here or by the report of another
+	// node, in two generations, the newer one first.
+	succeeded [2]map[Fingerprint]time.Time
+	suspects  map[Fingerprint]time.Time // and when each was added
+	turn      *turn                     // of the suspect in flight; nil for none
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{
+		cleared:     make(map[Fingerprint]time.Time),
 		heard:       make(map[Fingerprint]time.Time),
-		quarantined: make(map[Fingerprint]time.Time),
 		inFlight:    make(map[Fingerprint]int),
+		quarantined: make(map[Fingerprint]time.Time),
+		succeeded:   [2]map[Fingerprint]time.Time{make(map[Fingerprint]time.Time), make(map[Fingerprint]time.Time)},
 		suspects:    make(map[Fingerprint]time.Time),
-		succeeded: [2]map[Fingerprint]struct{}{
-			make(map[Fingerprint]struct{}),
-			make(map[Fingerprint]struct{}),
-		},
 	}
 }
 
@@ -138,23 +160,30 @@
 	return max(left, 0)
 }
 
-// Begin counts a request as in flight at the upstream. The parameter suspect tells
-// whether the calling node suspects the request. Begin returns false, and does not
-// count the request, if it is a suspect and a suspect is already in flight.
-func (t *Table) Begin(now time.Time, f Fingerprint, suspect bool) bool {
+// Begin counts a request as in flight at the upstream until End is called with the Run that
+// it returns. The parameter suspect tells whether the calling node suspects the request. If
+// the request is a suspect and another suspect is in flight, or waits for those that are
+// equal to this one, Begin does not count it and returns nil.
+func (t *Table) Begin(now time.Time, f Fingerprint, suspect bool) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if suspect && !t.succeededRecently(f) {
+	if suspect && !t.isInnocent(now, f) {
 		add(t.suspects, f, now, suspectTime)
 	}
+	run := &Run{fingerprint: f}
 	if t.isSuspect(now, f) {
-		if t.suspectInFlight != nil {
-			return false
+		if t.turn == nil {
+			t.turn = &turn{fingerprint: f}
 		}
-		t.suspectInFlight = &f
+		if t.turn.fingerprint != f || t.turn.wanted {
+			t.turn.wanted = true
+			return nil
+		}
+		t.turn.runs++
+		run.turn = t.turn
 	}
 	t.inFlight[f]++
-	return true
+	return run
 }
 
 func (t *Table) isSuspect(now time.Time, f Fingerprint) bool {
@@ -162,41 +191,94 @@
 	return ok && now.Sub(at) < suspectTime
 }
 
-// isSuspectInFlight reports whether a request is the one suspect in flight.
-func (t *Table) isSuspectInFlight(f Fingerprint) bool {
-	return t.suspectInFlight != nil && *t.suspectInFlight == f
+// isInnocent reports whether a request has succeeded recently.
+func (t *Table) isInnocent(now time.Time, f Fingerprint) bool {
+	return t.succeededRecently(f) || t.isCleared(now, f)
+}
+
+func (t *Table) isCleared(now time.Time, f Fingerprint) bool {
+	at, ok := t.cleared[f]
+	return ok && now.Sub(at) < QuarantineTime
 }
 
-// End counts a request as no longer in flight. If it succeeded, it is no longer a
-// suspect.
-func (t *Table) End(f Fingerprint, succeeded bool) {
+// wasReleased reports whether a request was cleared while it was quarantined.
+func (t *Table) wasReleased(now time.Time, f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.isCleared(now, f)
+}
+
+// End counts a request as no longer in flight. If it succeeded, it is no longer a suspect or
+// quarantined.
+func (t *Table) End(now time.Time, run *Run, succeeded bool) {
+	if t.end(now, run, succeeded) && t.onCleared != nil {
+		t.onCleared(now, run.fingerprint)
+	}
+}
+
+// end does what End does, and reports whether the request was a suspect or quarantined.
+func (t *Table) end(now time.Time, run *Run, succeeded bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := run.fingerprint
 	if t.inFlight[f]--; t.inFlight[f] <= 0 {
 		delete(t.inFlight, f)
-		if t.isSuspectInFlight(f) {
-			t.suspectInFlight = nil
+	}
+	if run.turn != nil {
+		if run.turn.runs--; run.turn.runs == 0 && t.turn == run.turn {
+			t.turn = nil
 		}
 	}
-	if succeeded {
-		delete(t.suspects, f)
-		t.addSucceeded(f)
+	return succeeded && t.clear(now, f)
+}
+
+// clear records that a request has succeeded, here or elsewhere. It reports whether it was a
+// suspect or quarantined. The caller holds the lock.
+func (t *Table) clear(now time.Time, f Fingerprint) bool {
+	t.addSucceeded(now, f)
+	_, suspected := t.suspects[f]
+	delete(t.suspects, f)
+	if t.turn != nil && t.turn.fingerprint == f {
+		t.turn = nil
+	}
+	_, quarantined := t.quarantined[f]
+	if quarantined {
+		delete(t.quarantined, f)
+		add(t.cleared, f, now, QuarantineTime)
 	}
+	return suspected || quarantined
 }
 
 // addSucceeded records a request that succeeded. When the newer generation is
 // full, it replaces the older one.
-func (t *Table) addSucceeded(f Fingerprint) {
+func (t *Table) addSucceeded(now time.Time, f Fingerprint) {
 	if len(t.succeeded[0]) >= maxEntries/2 {
-		t.succeeded[0], t.succeeded[1] = make(map[Fingerprint]struct{}), t.succeeded[0]
+		t.succeeded[0], t.succeeded[1] = make(map[Fingerprint]time.Time), t.succeeded[0]
 	}
-	t.succeeded[0][f] = struct{}{}
+	t.succeeded[0][f] = now
 }
 
 func (t *Table) succeededRecently(f Fingerprint) bool {
-	_, newer := t.succeeded[0][f]
-	_, older := t.succeeded[1][f]
-	return newer || older
+	_, ok := t.succeededAt(f)
+	return ok
+}
+
+// succeededAt returns when a request last succeeded, or false if it did not recently.
+func (t *Table) succeededAt(f Fingerprint) (time.Time, bool) {
+	for _, generation := range t.succeeded {
+		if at, ok := generation[f]; ok {
+			return at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// isRefuted reports whether a request has succeeded since it became a suspect. The caller
+// holds the lock.
+func (t *Table) isRefuted(now time.Time, f Fingerprint) bool {
+	heardAt, heard := t.heard[f]
+	at, succeeded := t.succeededAt(f)
+	return heard && succeeded && now.Sub(heardAt) < suspectTime && !at.Before(heardAt)
 }
 
 // RecordCrash records a crash of the upstream and returns the report for other
@@ -214,9 +296,10 @@
 			break
 		}
 		switch {
-		case t.isSuspectInFlight(f):
+		case t.isInnocent(now, f):
+		case t.turn != nil && t.turn.fingerprint == f:
 			report.Guilty = append(report.Guilty, f)
-		case !t.succeededRecently(f):
+		default:
 			report.Suspects = append(report.Suspects, f)
 		}
 	}
@@ -224,46 +307,80 @@
 	return report, true
 }
 
-// Merge adds the report of another node, and reports whether any of it was new.
+// Merge adds the report of another node, and reports whether any of it was new. A request that
+// it quarantines is cleared if it has succeeded here since it became a suspect: the report and
+// the success have crossed.
 func (t *Table) Merge(now time.Time, report *Report) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.merge(now, report)
+	changed := t.merge(now, report)
+	var refuted []Fingerprint
+	for _, f := range report.Guilty {
+		if t.isRefuted(now, f) && t.clear(now, f) {
+			refuted = append(refuted, f)
+		}
+	}
+	t.mu.Unlock()
+	if t.onCleared != nil {
+		for _, f := range refuted {
+			t.onCleared(now, f)
+		}
+	}
+	return changed
 }
 
 func (t *Table) merge(now time.Time, report *Report) bool {
 	changed := false
 	for _, f := range report.Suspects {
-		add(t.suspects, f, now, suspectTime)
 		changed = add(t.heard, f, now, suspectTime) || changed
+		if !t.isInnocent(now, f) {
+			add(t.suspects, f, now, suspectTime)
+		}
 	}
 	for _, f := range report.Guilty {
-		delete(t.suspects, f)
-		changed = add(t.quarantined, f, now, QuarantineTime) || changed
+		changed = t.quarantine(now, f) || changed
+	}
+	for _, f := range report.Cleared {
+		changed = t.clear(now, f) || changed
 	}
 	return changed
 }
 
+// quarantine adds a quarantined request unless it has been cleared, and reports whether it is
+// new. The caller holds the lock.
+func (t *Table) quarantine(now time.Time, f Fingerprint) bool {
+	if t.isCleared(now, f) {
+		return false
+	}
+	delete(t.suspects, f)
+	return add(t.quarantined, f, now, QuarantineTime)
+}
+
 // State returns the entries that are worth exchanging, at most maxReportEntries of them.
 func (t *Table) State(now time.Time) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var s State
-	s.Quarantined = exchanged(t.quarantined, now, QuarantineTime, maxReportEntries)
-	s.Suspects = exchanged(t.suspects, now, suspectTime, maxReportEntries-len(s.Quarantined))
+	s.Cleared = exchanged(t.cleared, now, QuarantineTime, maxReportEntries)
+	s.Quarantined = exchanged(t.quarantined, now, QuarantineTime, maxReportEntries-len(s.Cleared))
+	s.Suspects = exchanged(t.suspects, now, suspectTime, maxReportEntries-len(s.Cleared)-len(s.Quarantined))
 	return s
 }
 
-// MergeState adds the quarantined requests of another node, and reports how many of them
-// were new. It adds the suspects, too, if suspects is true, except for requests that have
-// succeeded here recently.
+// MergeState adds the quarantined and cleared requests of another node, and reports how many of
+// the former were new. It adds the suspects, too, if suspects is true, except for requests that
+// have succeeded recently.
 func (t *Table) MergeState(now time.Time, s *State, suspects bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, e := range s.Cleared {
+		t.clear(now, e.Fingerprint)
+		if add(t.cleared, e.Fingerprint, now, QuarantineTime) {
+			shorten(t.cleared, e.Fingerprint, now.Add(e.Left-QuarantineTime))
+		}
+	}
 	added := 0
 	for _, e := range s.Quarantined {
-		delete(t.suspects, e.Fingerprint)
-		if add(t.quarantined, e.Fingerprint, now, QuarantineTime) {
+		if t.quarantine(now, e.Fingerprint) {
 			added++
 			shorten(t.quarantined, e.Fingerprint, now.Add(e.Left-QuarantineTime))
 		}
@@ -273,14 +390,14 @@
 	}
 	for _, e := range s.Suspects {
 		add(t.heard, e.Fingerprint, now, suspectTime)
-		if !t.succeededRecently(e.Fingerprint) && add(t.suspects, e.Fingerprint, now, suspectTime) {
+		if !t.isInnocent(now, e.Fingerprint) && add(t.suspects, e.Fingerprint, now, suspectTime) {
 			shorten(t.suspects, e.Fingerprint, now.Add(e.Left-suspectTime))
 		}
 	}
 	return added
 }
 
-// digest returns a hash of the quarantined requests that are worth exchanging.
+// digest returns a hash of the quarantined and cleared requests that are worth exchanging.
 func (t *Table) digest(now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -290,6 +407,11 @@
 			sum ^= uint64(f)
 		}
 	}
+	for f, at := range t.cleared {
+		if at.Add(QuarantineTime).Sub(now) >= minExchanged {
+			sum ^= bits.RotateLeft64(uint64(f), 1)
+		}
+	}
 	return sum
 }
 
--- a/internal/process/crash/crash_test.go
+++ b/internal/process/crash/crash_test.go
@@ -12,8 +12,9 @@
 func TestReportAfterRepeat(t *testing.T) {
 	now := time.Now()
 	table := NewTable()
-	assert.Check(t, table.Begin(now, guilty, true))
-	table.End(guilty, false)
+	run := table.Begin(now, guilty, true)
+	assert.Check(t, run != nil)
+	table.End(now, run, false)
 	report := &Report{Suspects: []Fingerprint{guilty}}
 	assert.Check(t, table.Merge(now, report), "the report is new to the node's neighbours")
 	assert.Check(t, !table.Merge(now, report), "the report goes round")
--- a/internal/process/crash/saver.go
+++ b/internal/process/crash/saver.go
@@ -57,7 +57,7 @@
 
 // Add queues a report to be written.
 func (s *Saver) Add(now time.Time, report Report) {
-	if len(report.Guilty)+len(report.Suspects) == 0 {
+	if len(report.Cleared)+len(report.Guilty)+len(report.Suspects) == 0 {
 		return
 	}
 	s.mu.Lock()
@@ -149,6 +149,7 @@
 	for i := range pending {
 		addReport(pending[i].at, &stored, &pending[i].report)
 	}
+	stored.Cleared = latest(now, stored.Cleared, maxStoredQuarantined)
 	stored.Quarantined = latest(now, stored.Quarantined, maxStoredQuarantined)
 	stored.Suspects = latest(now, stored.Suspects, maxStoredSuspects)
 	return kinds.Encode(&stored)
--- a/internal/process/crash/stored.go
+++ b/internal/process/crash/stored.go
@@ -19,6 +19,7 @@
 // has been cleared since does not come back.
 func (t *Table) MergeStored(now time.Time, stored *kinds.Crashes) int {
 	state := State{
+		Cleared:     storedEntries(now, stored.Cleared, QuarantineTime),
 		Quarantined: storedEntries(now, stored.Quarantined, QuarantineTime),
 		Suspects:    storedEntries(now, stored.Suspects, suspectTime),
 	}
@@ -50,20 +51,25 @@
 // addReport adds a report at the time now to what is stored of the crashes of a zone, and
 // leaves out what has ended.
 func addReport(now time.Time, stored *kinds.Crashes, report *Report) {
-	var added kinds.Crashes
-	for _, f := range report.Guilty {
-		added.Quarantined = append(added.Quarantined, kinds.NewCrashEntry(uint64(f), now.Add(QuarantineTime)))
-	}
-	for _, f := range report.Suspects {
-		added.Suspects = append(added.Suspects, kinds.NewCrashEntry(uint64(f), now.Add(suspectTime)))
-	}
-	stored.Quarantined = latest(now, append(added.Quarantined, stored.Quarantined...), maxStoredQuarantined)
-	guilty := make(map[string]bool, len(stored.Quarantined))
-	for _, e := range stored.Quarantined {
-		guilty[e.Fingerprint] = true
+	entriesOf := func(fingerprints []Fingerprint, lifetime time.Duration) []kinds.CrashEntry {
+		var entries []kinds.CrashEntry
+		for _, f := range fingerprints {
+			entries = append(entries, kinds.NewCrashEntry(uint64(f), now.Add(lifetime)))
+		}
+		return entries
 	}
-	suspects := append(added.Suspects, stored.Suspects...)
-	stored.Suspects = latest(now, slices.DeleteFunc(suspects, func(e kinds.CrashEntry) bool { return guilty[e.Fingerprint] }), maxStoredSuspects)
+	stored.Cleared = latest(now, append(entriesOf(report.Cleared, QuarantineTime), stored.Cleared...), maxStoredQuarantined)
+	quarantined := append(entriesOf(report.Guilty, QuarantineTime), stored.Quarantined...)
+	stored.Quarantined = latest(now, without(quarantined, stored.Cleared), maxStoredQuarantined)
+	suspects := append(entriesOf(report.Suspects, suspectTime), stored.Suspects...)
+	stored.Suspects = latest(now, without(without(suspects, stored.Cleared), stored.Quarantined), maxStoredSuspects)
+}
+
+// without returns the entries whose fingerprints are not among others.
+func without(entries, others []kinds.CrashEntry) []kinds.CrashEntry {
+	return slices.DeleteFunc(entries, func(e kinds.CrashEntry) bool {
+		return slices.ContainsFunc(others, func(o kinds.CrashEntry) bool { return o.Fingerprint == e.Fingerprint })
+	})
 }
 
 // latest returns up to limit entries that have not ended, those that end last first, and each
--- a/internal/process/node/crashes_test.go
+++ b/internal/process/node/crashes_test.go
@@ -58,6 +58,7 @@
 	if fault == "other" {
 		f.crash(t, f.nodes[5], otherRequest)
 	}
+	running := f.nodes[3].crashes.Begin(time.Now(), crashesUpstreams, false)
 	began := time.Now()
 	reporters := strings.Fields(record[2])
 	for i := range crashes {
@@ -68,6 +69,9 @@
 			time.Sleep(time.Second)
 		}
 	}
+	if fault == "released" {
+		f.nodes[3].crashes.End(time.Now(), running, true)
+	}
 	time.Sleep(kill)
 	f.kill()
 	time.Sleep(away)
@@ -97,9 +101,10 @@
 func (f *callFleet) crash(t *testing.T, n *Node, request crash.Fingerprint) {
 	t.Helper()
 	now := time.Now()
-	assert.Check(t, n.crashes.Begin(now, request, false))
+	run := n.crashes.Begin(now, request, false)
+	assert.Check(t, run != nil)
 	n.crashes.ReportCrash(now)
-	n.crashes.End(request, false)
+	n.crashes.End(now, run, false)
 }
 
 // kill ends all nodes at once.
@@ -125,9 +130,10 @@
 			refused := n.crashes.QuarantineLeft(now, crashesUpstreams) > 0
 			assert.Check(t, refused == (want == "refused" || want == "late"), "node %d, refused: %v", i, refused)
 			if want == "suspect" {
-				assert.Check(t, n.crashes.Begin(now, crashesUpstreams, false))
-				assert.Check(t, !n.crashes.Begin(now, otherRequest, true), "node %d does not suspect the request", i)
-				n.crashes.End(crashesUpstreams, false)
+				run := n.crashes.Begin(now, crashesUpstreams, false)
+				assert.Check(t, run != nil)
+				assert.Check(t, n.crashes.Begin(now, otherRequest, true) == nil, "node %d does not suspect the request", i)
+				n.crashes.End(now, run, false)
 			}
 		}
 	}
--- a/internal/request/relay/panic_test.go
+++ b/internal/request/relay/panic_test.go
@@ -44,7 +44,7 @@
 }
 
 // Begin implements CrashDetector.
-func (panickingDetector) Begin(time.Time, crash.Fingerprint, bool) bool {
+func (panickingDetector) Begin(time.Time, crash.Fingerprint, bool) *crash.Run {
 	panic("begin")
 }
 
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -17,6 +17,7 @@
 
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
 	"github.com/wasabibend/wasabibend/internal/conn/pool"
+	"github.com/wasabibend/wasabibend/internal/process/crash"
 	"github.com/wasabibend/wasabibend/internal/process/gates"
 	"github.com/wasabibend/wasabibend/internal/process/spans"
 	"github.com/wasabibend/wasabibend/internal/request/chain"
@@ -133,6 +134,7 @@
 	enteredAt time.Time
 	instance  string // ID of the upstream's instance, empty if unknown
 	relay     *Relay
+	run       *crash.Run
 	running   *chain.RunningRequest
 	span      trace.Span
 	ticket    *gates.Ticket
@@ -172,11 +174,12 @@
 		r.Gate.Abandon(admitted, ticket)
 		return nil, refuse.New(refuse.NoUpstream, defaultRetryAfter, "the upstream left while the request waited")
 	}
-	if !r.Crashes.Begin(now, c.Fingerprint, c.Suspect) {
+	run := r.Crashes.Begin(now, c.Fingerprint, c.Suspect)
+	if run == nil {
 		r.Gate.Abandon(time.Now(), ticket)
 		return nil, refuse.New(refuse.Overloaded, suspectRetryAfter, "another request that may crash the upstream runs there")
 	}
-	lc := &localCall{address: address, deadline: deadline, enteredAt: now, instance: instance, relay: r, ticket: ticket}
+	lc := &localCall{address: address, deadline: deadline, enteredAt: now, instance: instance, relay: r, run: run, ticket: ticket}
 	ctx, lc.cancel = context.WithCancelCause(ctx)
 	lc.ctx, lc.span = r.Tracer.Start(spans.Context(ctx, c), "upstream")
 	lc.running = &chain.RunningRequest{Budget: chain.NewBudget(c.Retries), Chain: *c, Context: lc.ctx, Deadline: deadline}
@@ -426,8 +429,8 @@
 func (lc *localCall) finish(failed bool) {
 	lc.relay.tokens.Revoke(lc.token)
 	lc.cancel(nil)
-	lc.relay.Crashes.End(lc.running.Chain.Fingerprint, !failed)
 	now := time.Now()
+	lc.relay.Crashes.End(now, lc.run, !failed)
 	lc.relay.Gate.Leave(now, lc.ticket, failed)
 	lc.relay.callDurations.record(now, durationName(&lc.running.Chain), now.Sub(lc.enteredAt))
 	lc.span.End()
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -72,12 +72,12 @@
 
 // CrashDetector detects requests that crash upstreams.
 type CrashDetector interface {
-	// Begin records that a request is about to run. It returns false if the
-	// request is a suspect and another suspect is running.
-	Begin(now time.Time, f crash.Fingerprint, suspect bool) bool
+	// Begin records that a request is about to run. It returns nil if the request is a
+	// suspect and must not run beside another suspect.
+	Begin(now time.Time, f crash.Fingerprint, suspect bool) *crash.Run
 	// End records that a request has ended. One that succeeded is no longer a
 	// suspect.
-	End(f crash.Fingerprint, succeeded bool)
+	End(now time.Time, run *crash.Run, succeeded bool)
 	// QuarantineLeft returns how long a request stays quarantined, 0 if it is not.
 	QuarantineLeft(now time.Time, f crash.Fingerprint) time.Duration
 	// ReportCrash records that the upstream crashed, and informs the other nodes.
--- a/internal/version/kinds/crashes.go
+++ b/internal/version/kinds/crashes.go
@@ -18,6 +18,8 @@
 // kept in the store for nodes that start when no other node is left that knows them.
 type Crashes struct {
 	Zone string
+	// Cleared are the requests that were quarantined and have succeeded since.
+	Cleared []CrashEntry `json:",omitempty"`
 	// Quarantined are the requests that are refused.
 	Quarantined []CrashEntry `json:",omitempty"`
 	// Suspects are the requests that were in flight at a crash.
@@ -30,7 +32,7 @@
 	if o.Zone == "" || strings.Contains(o.Zone, "/") {
 		return trace.BadParameter("Crashes: want a zone without a slash")
 	}
-	if n := len(o.Quarantined) + len(o.Suspects); n > maxCrashEntries {
+	if n := len(o.Cleared) + len(o.Quarantined) + len(o.Suspects); n > maxCrashEntries {
 		return trace.BadParameter("Crashes: %d entries, want at most %d", n, maxCrashEntries)
 	}
 	return nil
