Choose the node of a chunked upload once its first chunk is there

Cause: the entry chose a node, and the gate admitted the call, before the first chunk was awaited; nothing looked again. Ruled out: late news, as other calls went elsewhere.

Change: the entry waits before it chooses. A node that has waited for a first chunk looks again whether it may send the call to its upstream, and refuses it as not run if not.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -84,6 +84,12 @@
 			// error cancels the call.
 			_, _ = body.Read(nil)
 		}
+		if refusal := lc.recheck(time.Now()); refusal != nil {
+			hb.stop()
+			body.beginRefusal(w.Header())
+			r.refusePeer(w, c, c.Retries, refusal)
+			return
+		}
 	}
 	pending, left, refusal := lc.call(request)
 	hb.stop()
@@ -194,6 +200,21 @@
 	return lc, nil
 }
 
+// recheck returns a refusal if the upstream has begun to leave, or the gate was closed, while
+// the body of an admitted call was awaited. The call has then ended.
+func (lc *localCall) recheck(now time.Time) *refuse.Refusal {
+	r := lc.relay
+	if !r.gateClosed.Load() && !r.Gate.Closed() && r.Local.Accepts(now, lc.instance) {
+		return nil
+	}
+	r.tokens.Revoke(lc.token)
+	lc.cancel(nil)
+	r.Crashes.End(now, lc.run, false)
+	r.Gate.Abandon(now, lc.ticket)
+	lc.span.End()
+	return refuse.New(refuse.NoUpstream, defaultRetryAfter, "the upstream left while the body of the request was awaited")
+}
+
 // upstreamRequest returns the request to send to the upstream, and its body, which
 // is nil if it has none.
 func (lc *localCall) upstreamRequest(w http.ResponseWriter, req *http.Request) (*http.Request, *upload) {
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -80,6 +81,9 @@
 	if wait := r.Crashes.QuarantineLeft(time.Now(), c.chain.Fingerprint); wait > 0 {
 		return s.refuse(refuse.New(refuse.Quarantined, wait, "the request crashed the upstreams that ran it"))
 	}
+	if refusal := s.awaitUpload(); refusal != nil {
+		return s.refuse(refusal)
+	}
 	pending, refusal := s.tryNodes()
 	if refusal != nil {
 		return s.refuse(s.withEndReason(refusal))
@@ -127,17 +131,32 @@
 	smallBody, err := readSmallBody(u, length)
 	if err != nil {
 		u.beginRefusal(s.writer.Header())
+		return s.bodyRefusal(err)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(s.deadline) {
-		return refuse.New(refuse.DeadlineExceeded, 0, "the deadline passed before the whole body came")
+	s.smallBody = smallBody
+	return nil
+}
+
+// awaitUpload waits for the first chunk of a body without a length. A node is chosen
+// afterwards: one that is chosen earlier may leave meanwhile.
+func (s *session) awaitUpload() *refuse.Refusal {
+	if s.upload == nil || s.request.ContentLength >= 0 {
+		return nil
 	}
-	if err != nil {
-		return refuse.New(refuse.BadRequest, 0, "the body is cut")
+	if _, err := s.upload.Read(nil); err != nil && !errors.Is(err, io.EOF) {
+		return s.bodyRefusal(err)
 	}
-	s.smallBody = smallBody
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body cannot be read.
+func (s *session) bodyRefusal(err error) *refuse.Refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(s.deadline) {
+		return refuse.New(refuse.DeadlineExceeded, 0, "the deadline passed before the whole body came")
+	}
+	return refuse.New(refuse.BadRequest, 0, "the body is cut")
+}
+
 // bodyTooLarge returns the refusal of a request with a body above the limit.
 func (s *session) bodyTooLarge() *refuse.Refusal {
 	return refuse.New(refuse.BodyTooLarge, 0, "the row allows %d bytes", s.maxBody)
