Soak requests without a key and configurations with odd entries

Change: one in six or more routes of a caller's draw is open and its requests carry no key; they must not run twice and must not be cut by a stop, as those with a key.

The soak was not run on the code before the fixes.

--- a/internal/cmds/soak/callers.go
+++ b/internal/cmds/soak/callers.go
@@ -25,6 +25,7 @@
 	routeInner    = "inner"
 	routeLookup   = "lookup"
 	routeOrder    = "order"    // not idempotent; only resting callers use it
+	routePublic   = "public"   // not idempotent, for requests without a key
 	routeStore    = "store"    // idempotent, with long bodies
 	routeTransfer = "transfer" // not idempotent: must not run twice
 	routeUpload   = "upload"   // not idempotent, with long bodies
@@ -153,10 +154,13 @@
 		customer = fmt.Sprintf("leaver%d", rand.IntN(withdrawableKeys))
 	}
 	r := &mimic.Request{Host: hostName, ID: fmt.Sprintf("r-%016x", rand.Uint64()), Key: "key-" + customer, Method: http.MethodGet, Timeout: callerTimeout, Address: c.hosts[host].Callers()}
-	routes := append([]string{routeBrowse, routeBrowse, routeLookup, routeTransfer, routeTransfer}, added...)
+	routes := append([]string{routeBrowse, routeBrowse, routeLookup, routePublic, routeTransfer, routeTransfer}, added...)
 	route := routes[rand.IntN(len(routes))]
 	r.Path = "/" + route + "/" + r.ID
 	switch route {
+	case routePublic:
+		r.Method = http.MethodPost
+		r.Key, customer = "", ""
 	case routeTransfer:
 		r.Method = http.MethodPost
 		r.BodyBytes = transferBodyBytes
--- a/internal/cmds/soak/check.go
+++ b/internal/cmds/soak/check.go
@@ -116,7 +116,7 @@
 // checkOutcome checks the response to a request against the runs of the request.
 func (c *checker) checkOutcome(o *Outcome) {
 	runs := len(c.runsByID[o.ID])
-	if (o.Route == routeOrder || o.Route == routeTransfer || o.Route == routeUpload) && runs > 1 {
+	if (o.Route == routeOrder || o.Route == routePublic || o.Route == routeTransfer || o.Route == routeUpload) && runs > 1 {
 		c.addViolation(guaranteeOnce, "%s ran %d times", o.ID, runs)
 	}
 	if o.Response == nil {
@@ -207,7 +207,7 @@
 // serviceOf returns the service to which a path's route leads.
 func serviceOf(path string) string {
 	route, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	if route == routeBrowse || route == routeOrder || route == routeStore || strings.HasPrefix(route, "added") {
+	if route == routeBrowse || route == routeOrder || route == routePublic || route == routeStore || strings.HasPrefix(route, "added") {
 		return "listings"
 	}
 	return "ledger"
--- a/internal/cmds/soak/operator.go
+++ b/internal/cmds/soak/operator.go
@@ -59,7 +59,7 @@
 		Limits:    rows.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: idleTimeout},
 		Routes: []rows.Route{
 			route(routeBrowse, "listings", true, false), route(routeTransfer, "ledger", false, false), route(routeOrder, "listings", false, false),
-			route(routeLookup, "ledger", true, false), route(routeInner, "ledger", true, true),
+			route(routeLookup, "ledger", true, false), route(routeInner, "ledger", true, true), route(routePublic, "listings", false, true),
 			route(routeStore, "listings", true, false), route(routeUpload, "ledger", false, false),
 		},
 		Services: []rows.ServiceInfo{{HealthPath: "/healthz", Name: "ledger"}, {HealthPath: "/healthz", Name: "listings"}},
@@ -79,6 +79,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	value = addOddEntries(value)
 	const key = "config/main"
 	for {
 		revision, err := o.store.Put(ctx, key, value, o.revision)
@@ -101,6 +102,22 @@
 	}
 }
 
+// oddEntries are put before the entries of a list of the configuration. They must not keep
+// the others out of force.
+var oddEntries = map[string]string{
+	"routes":   `7,{"name":"odd","host":"` + hostName + `","path_prefix":"/odd/","timeout_ms":"soon","max_attempts":20.5,"service":["ledger"]},`,
+	"services": `{"name":7,"health_path":"healthz"},`,
+	"tenants":  `{"api_keys":["key-odd",7],"per_s":"fast"},`,
+}
+
+// addOddEntries returns a configuration with the oddEntries.
+func addOddEntries(value []byte) []byte {
+	for list, entries := range oddEntries {
+		value = bytes.Replace(value, []byte(`"`+list+`":[`), []byte(`"`+list+`":[`+entries), 1)
+	}
+	return value
+}
+
 // rewrite writes the current configuration again after the store was restored from an
 // older copy.
 func (o *operator) rewrite(ctx context.Context) error {
