Repeat no request at an upstream that has begun to leave

Cause: as in the late bodies, the decision was taken when the call was admitted. The loop looked at the limits of retries and of the gate, not at the state of the upstream.

Change: it looks whether the call may still be sent, as after a late body.

--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -200,13 +200,20 @@
 	return lc, nil
 }
 
+// accepted reports whether the admitted call may still be sent to the upstream, or once more:
+// neither has begun to leave, the upstream or its node, and their zone is not evacuated.
+func (lc *localCall) accepted(now time.Time) bool {
+	r := lc.relay
+	return !r.gateClosed.Load() && !r.Gate.Closed() && r.Local.Accepts(now, lc.instance)
+}
+
 // recheck returns a refusal if the upstream has begun to leave, or the gate was closed, while
 // the body of an admitted call was awaited. The call has then ended.
 func (lc *localCall) recheck(now time.Time) *refuse.Refusal {
-	r := lc.relay
-	if !r.gateClosed.Load() && !r.Gate.Closed() && r.Local.Accepts(now, lc.instance) {
+	if lc.accepted(now) {
 		return nil
 	}
+	r := lc.relay
 	r.tokens.Revoke(lc.token)
 	lc.cancel(nil)
 	r.Crashes.End(now, lc.run, false)
@@ -347,7 +354,7 @@
 	if !errors.As(err, &sendErr) || !sendErr.StaleConnection && !errors.Is(err, pool.ErrUnnamed) || !c.Idempotent || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil {
 		return false
 	}
-	return acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
+	return lc.accepted(now) && acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
 }
 
 // maxLocalTries is the maximum number of times that one request is sent to the
@@ -363,7 +370,7 @@
 	c := &lc.running.Chain
 	shed := info.NotRun && !info.AddressReused
 	failed := response.StatusCode == http.StatusInternalServerError && c.Idempotent && c.Route != "" && len(lc.relay.callees.recent(now)) == 0
-	if !shed && !failed || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil {
+	if !shed && !failed || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil || !lc.accepted(now) {
 		lc.relay.deniedRetries.observe(now, false)
 		return false
 	}
