--- a/internal/cmds/mimic/main.go
+++ b/internal/cmds/mimic/main.go
@@ -37,6 +37,7 @@
 	flag.DurationVar(&options.ServiceTime, "work", 10*time.Millisecond, "the mean `time` for which a request runs")
 	flag.StringVar(&options.Zone, "zone", "", "the `name` of the availability zone")
 	flag.Parse()
+	options.Crash = func() { os.Exit(1) }
 	var err error
 	if options.Journal, err = mimic.OpenJournal(*journal); err != nil {
 		return err
