Tell a reset from the end of an answer when a write found it

Callers saw a part of an answer as the whole one: a backend answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel reports the failure of a connection once (sk_err). The goroutine that writes the request's body and the one that reads the response use the same connection. If the write gets ECONNRESET, the next read returns 0, as after a close in order, and a response without a length is complete at that point. Whether it happens is a race between the two, so that more callers are hit the less time passes before the reset, and none once the upload is over. The same holds for ETIMEDOUT of the keep-alive probes.

Change: writes go through a sender that keeps the error of the first one that failed. At the end of the connection the reader asks it: it ends a write in progress by a deadline, takes the lock that each write holds, and returns the error unless that is EPIPE, with which the kernel reports a reset that came after the other side had closed its direction. So a response that ends in order while the upload goes on, is not read or is reset afterwards stays whole.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -22,9 +22,10 @@
 
 func newConn(nc net.Conn) *conn {
 	late := &lateReader{conn: nc}
-	c := &conn{Conn: nc, late: late, limit: &readLimit{left: noLimit, reader: late}}
+	s := &sender{conn: nc}
+	c := &conn{Conn: nc, late: late, limit: &readLimit{left: noLimit, reader: &endReader{reader: late, sender: s}}}
 	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
-	c.writer = bufio.NewWriterSize(nc, bufferSize)
+	c.writer = bufio.NewWriterSize(s, bufferSize)
 	return c
 }
 
