Take no answer with a status below 100 for an interim one

Callers got an answer that was not the backend's: a backend in trouble sent the status 000 with a body that held a second answer, 200, and 8 of 12 and 24 of 24 callers from outside got that 200; of 001 with a 200 behind it, 11 of 12. Answers of 000 alone, with or without a body, gave 502.

Cause: net/http parses each status of three digits, also 000 and "+20", and the exchange took each one below 200 for an interim response, behind whose head the next response begins. So the body of such an answer was read as the next head, with all that this may say: that the request has not run, that the upstream leaves, which rate it takes.

Ruled out: the clients of the store, health checks, offers and links use net/http's transport, which takes 100 to 199 for interim and returns 000 as a final status, an error to each of them.

Change: the new package heads checks heads for what net/http accepts although HTTP does not allow it, and the exchange checks each head by it before it looks at the status. A broken head ends the exchange as a cut one does: the request may have run, it is repeated once if it is idempotent, and nothing that the head says is believed.

Evidence: TestBrokenHeads, 16 cases; before the change three gave the body of the inner answer, and nine got another error by what happened to follow. TestBrokenAnswers, 12 cases through relays with the platform's dialect, with a cut head as the measure: before the change failing in 6 cases, four with 200, and one with 503, the promise that the request has not run. Both pass with it.

--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabibend/wasabibend/internal/conn/heads"
 	"github.com/wasabibend/wasabibend/internal/process/guard"
 )
 
@@ -108,8 +109,8 @@
 	return err
 }
 
-// readHead reads the head of the next response, of which it reads at most maxHeadBytes and
-// maxHeadLines.
+// readHead reads and checks the head of the next response, of which it reads at most
+// maxHeadBytes and maxHeadLines.
 func (e *exchange) readHead() (*http.Response, error) {
 	limit, buffered := e.conn.limit, e.conn.reader.Buffered()
 	begun, err := e.conn.reader.Peek(buffered)
@@ -125,7 +126,10 @@
 	response, err := http.ReadResponse(e.conn.reader, e.call.Request)
 	e.headsBytes += buffered + maxHeadBytes - limit.left - e.conn.reader.Buffered()
 	limit.left = noLimit
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, heads.Check(response)
 }
 
 // skip reads and discards a response to another request. It returns errMismatch
