Refuse answers whose fields have names that are no tokens

Callers got answers with a broken head from a backend in trouble. From outside, 12 of 12 each: with "Content-Length : N" and more bytes behind, 200 with all the bytes; with "Transfer-Encoding : chunked", 200 with the framing of the chunks as the body; with "Not-Executed : 1" in a 503, 503, the promise that the request has not run. With "X A: b" beside good fields the answer arrived whole, without that line.

Cause: net/http rejects the bytes that no name has, but for blanks, in the name or in front of the colon. It keeps such a name as it is, so that it is not the one that it looks like: a length or a transfer coding in such a line does not frame the body. Control bytes, tabs, bytes above 0x7f, empty names and lines without a colon it rejects itself.

Interim heads are checked like others. An answer with a broken head is treated as one with a cut head: 502, repeated once if idempotent, nothing in it believed. HTTP lets a proxy remove blanks in front of the colon; a line that servers and clients read in different ways is refused here instead.

--- a/internal/conn/heads/heads.go
+++ b/internal/conn/heads/heads.go
@@ -18,7 +18,7 @@
 	case response.StatusCode < http.StatusOK && announcesBody(response):
 		return errors.New("the interim answer announces a body")
 	}
-	return nil
+	return CheckNames(response.Header)
 }
 
 // announcesBody reports whether the fields of an interim response say that a body follows.
@@ -27,3 +27,27 @@
 	length := strings.TrimLeft(response.Header.Get("Content-Length"), "0")
 	return length != "" || len(response.TransferEncoding) > 0
 }
+
+// CheckNames returns an error if the name of a field in a head or a trailer is not a token.
+// net/http accepts names with blanks, also in front of the colon, and takes them for others
+// than those without. Names without a value have only been announced for a trailer.
+func CheckNames(fields http.Header) error {
+	for name, values := range fields {
+		if len(values) > 0 && !isToken(name) {
+			return fmt.Errorf("%.60q in the answer is not the name of a field", name)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a text is a token as HTTP defines it.
+func isToken(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		isLetterOrDigit := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !isLetterOrDigit && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
