--- a/internal/conn/links/mesh.go
+++ b/internal/conn/links/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/conn/fleet"
+	"github.com/wasabibend/wasabibend/internal/conn/heads"
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
 )
 
@@ -83,13 +84,18 @@
 // maxHeaderBytes is the maximum size of the header of the response that accepts a link.
 const maxHeaderBytes = 64 << 10
 
+// newTransport returns a transport that opens its connections with a Dialer.
+func newTransport(dialer Dialer) http.RoundTripper {
+	return &heads.Transport{Base: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes}}
+}
+
 // Option configures a Mesh in NewMesh.
 type Option func(*Mesh)
 
 // WithDialer makes the mesh open its connections with a Dialer.
 func WithDialer(dialer Dialer) Option {
 	return func(m *Mesh) {
-		m.client.Transport = &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes}
+		m.client.Transport = newTransport(dialer)
 	}
 }
 
@@ -119,7 +125,7 @@
 func NewMesh(ctx context.Context, self netip.AddrPort, secret *fleet.Secret, options ...Option) *Mesh {
 	m := &Mesh{
 		ctx:          ctx,
-		client:       &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}},
+		client:       &http.Client{Transport: newTransport(&net.Dialer{})},
 		handlers:     make(map[wire.Kind]Handler),
 		links:        make(map[netip.AddrPort]*link),
 		log:          zerolog.Nop(),
