Reset a cut answer to an HTTP/1.0 caller once its upload is over

Cause: an answer without a length ends for such a caller with its connection, so that a cut one is told by a reset. The node reset the connection while the caller was still sending its upload. The caller's kernel reports the reset once; where a write of the upload got it, the next read found an orderly end.

Change: when an answer without a length to a caller with HTTP/1.0 is cut, the node first ends the exchange with the upstream, so that its slot is free, then reads the rest of the upload, and resets the connection after that, when only a read can find the reset. It reads until the deadline of the call, or for a second if that is longer. Callers with HTTP/1.1, whose answers come in chunks or with a length, are cut at once as before, and so are those without an upload.

An upload that goes on for longer than the deadline can still meet the reset with a write.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -38,7 +38,6 @@
 type upload struct {
 	cancel    context.CancelCauseFunc
 	control   *http.ResponseController
-	deadline  time.Time // of the call
 	idle      time.Duration
 	body      io.ReadCloser
 	remaining int64        // bytes
@@ -53,8 +52,9 @@
 	reader *attemptBody // that may read, nil for none
 	taken  bool         // an attempt has begun to read, so that no other may
 
-	mu     sync.Mutex
-	closed bool
+	mu       sync.Mutex
+	closed   bool
+	deadline time.Time // of the call
 }
 
 // newUpload returns an upload of the body of r, the request to which w responds.
@@ -164,6 +164,22 @@
 	}
 }
 
+// discardRest ends the current attempt and reads the rest of the body, until the deadline of
+// the call or for discardTime if that is longer. It does nothing if u is nil.
+func (u *upload) discardRest(now time.Time) {
+	if u == nil {
+		return
+	}
+	u.endAttempt()
+	u.mu.Lock()
+	if end := now.Add(discardTime); u.deadline.Before(end) {
+		u.deadline = end
+	}
+	u.mu.Unlock()
+	// An error means that the rest does not come.
+	_, _ = io.Copy(io.Discard, u)
+}
+
 // attemptBody is the body of a request as one attempt to send it reads it. The goroutine that
 // sends the body may run on after the attempt.
 type attemptBody struct {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -43,14 +43,19 @@
 	r.Stats.Answers.Add(strconv.Itoa(response.StatusCode/100)+"xx", 1)
 	w.WriteHeader(response.StatusCode)
 	complete := false
-	defer func() {
+	end := sync.OnceFunc(func() {
 		_ = response.Body.Close()
 		pending.finish(complete)
-	}()
+	})
+	defer end()
 	if err := copyBody(w, response); err != nil {
 		r.Stats.Answers.Add("Cut", 1)
 		r.logCut(time.Now(), req, c, err)
 		if response.ContentLength < 0 && !req.ProtoAtLeast(1, 1) {
+			end()
+			// A caller whose write finds the reset reads an orderly end, so that the upload
+			// has to be over.
+			u.discardRest(time.Now())
 			resetOnClose(req.Context())
 		}
 		panic(http.ErrAbortHandler)
--- a/internal/request/relay/unframed_test.go
+++ b/internal/request/relay/unframed_test.go
@@ -42,17 +42,8 @@
 		entry := newRelay(t, netip.MustParseAddrPort("127.0.0.1:1"), netip.AddrPort{}, member.Record{Health: member.Alive, Incarnation: 1, Peers: node, Readiness: member.Ready, Service: "ledger", Zone: "zone"})
 		var lines bytes.Buffer
 		entry.Log = NewRequestLog(zerolog.New(&lines))
-		l, err := conns.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
-		assert.NilError(t, err)
-		tracker := conns.NewTracker(1000, time.Minute)
-		server := &http.Server{
-			ConnContext: CallerContext,
-			ConnState:   func(conn net.Conn, state http.ConnState) { tracker.SetState(time.Now(), conn, state) },
-			Handler:     http.HandlerFunc(entry.ServeCaller),
-		}
-		var serving conc.WaitGroup
-		serving.Go(func() { _ = server.Serve(l) })
-		conn, err := net.Dial("tcp", l.Addr().String())
+		address, shutdown := serveCallers(t, entry)
+		conn, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
 		_, err = io.WriteString(conn, "GET /ledger/x HTTP/1.0\r\n\r\n")
 		assert.NilError(t, err)
@@ -63,8 +54,27 @@
 			assert.ErrorContains(t, err, record[2])
 		}
 		assert.NilError(t, conn.Close())
-		assert.NilError(t, tracker.Shutdown(t.Context(), server))
+		shutdown()
 		assert.Equal(t, strings.Contains(lines.String(), `"error":"unexpected EOF","message":"answer cut"`), record[2] != "", lines.String())
-		serving.Wait()
 	})
 }
+
+// serveCallers serves callers of an entry by a tracked server. It returns the server's address,
+// and a function that shuts the server down once its connections have ended.
+func serveCallers(t *testing.T, entry *Relay) (address string, shutdown func()) {
+	t.Helper()
+	l, err := conns.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	tracker := conns.NewTracker(1000, time.Minute)
+	server := &http.Server{
+		ConnContext: CallerContext,
+		ConnState:   func(conn net.Conn, state http.ConnState) { tracker.SetState(time.Now(), conn, state) },
+		Handler:     http.HandlerFunc(entry.ServeCaller),
+	}
+	var serving conc.WaitGroup
+	serving.Go(func() { _ = server.Serve(l) })
+	return l.Addr().String(), func() {
+		assert.NilError(t, tracker.Shutdown(t.Context(), server))
+		serving.Wait()
+	}
+}
