Reset an unfinished answer to an HTTP/1.0 caller whoever closes it

Found while looking at how a cut answer is written to each kind of caller: a caller with HTTP/1.0 that was getting an answer without a length took its part for the whole when the server was closed at the end of the time for a stop.

Cause: the connection was marked to be reset only once a read of the answer had failed. A close from elsewhere, by http.Server.Close or the end of the process, came without the mark, and the kernel ends such a connection in order.

Change: the mark is set before the head of such an answer is written, and taken back when the whole answer has been. With it the kernel resets the connection on any close.

--- a/internal/conn/conns/conn.go
+++ b/internal/conn/conns/conn.go
@@ -36,7 +36,6 @@
 	idleTimeout time.Duration // when the last request started; guarded by the Tracker's lock
 
 	mu        sync.Mutex
-	aborted   bool   // Abort was called
 	closedAs  string // reason with its suffix, empty while the connection is open
 	deadline  time.Time
 	endReason string // why the connection is to be ended once it is idle, empty if it is not
@@ -46,6 +45,7 @@
 	readErr   error // of the last read
 	reading   bool  // a call of Read is in progress
 	received  bool  // bytes were read since it became idle
+	resets    bool  // set by ResetOnClose
 	tracked   bool  // a Tracker calls linger
 }
 
@@ -126,20 +126,27 @@
 	if c.closedAs == "" {
 		c.closedAs = c.closeReason()
 	}
-	if c.tracked && !c.aborted && strings.HasPrefix(c.closedAs, closedResponse) {
+	if c.tracked && !c.resets && strings.HasPrefix(c.closedAs, closedResponse) {
 		c.lingers = true
 		return c.CloseWrite()
 	}
 	return c.TCPConn.Close()
 }
 
-// Abort makes Close reset the connection, so that the caller of a cut answer whose end is
-// that of the connection does not take it for complete.
-func (c *Conn) Abort() error {
+// defaultLinger is the value of SetLinger with which a close sends what has been written.
+const defaultLinger = -1
+
+// ResetOnClose sets whether the connection is reset when it is closed, also by the end of the
+// process. While an answer is being written whose end is that of the connection, a reset keeps
+// the caller from taking a part of it for the whole.
+func (c *Conn) ResetOnClose(reset bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.aborted = true
-	return c.SetLinger(0)
+	c.resets = reset
+	if reset {
+		return c.SetLinger(0)
+	}
+	return c.SetLinger(defaultLinger)
 }
 
 // lingerTime is how long the bytes behind an answer that closes its connection are read.
--- a/internal/request/relay/caller.go
+++ b/internal/request/relay/caller.go
@@ -127,11 +127,10 @@
 	return closed
 }
 
-// resetOnClose makes the close of the connection in ctx reset it, as the end of a response
-// without a length to a caller with HTTP/1.0 is that of the connection.
-func resetOnClose(ctx context.Context) {
-	if conn, ok := ctx.Value(connKey{}).(interface{ Abort() error }); ok {
+// resetOnClose sets whether the connection in ctx is reset when it is closed.
+func resetOnClose(ctx context.Context, reset bool) {
+	if conn, ok := ctx.Value(connKey{}).(interface{ ResetOnClose(reset bool) error }); ok {
 		// An error means that the connection is closed already.
-		_ = conn.Abort()
+		_ = conn.ResetOnClose(reset)
 	}
 }
--- a/internal/request/relay/cutupload_test.go
+++ b/internal/request/relay/cutupload_test.go
@@ -39,8 +39,8 @@
 			answerUpload(c, answer)
 		})
 		entry := newPatientRelay(t, time.Second, netip.MustParseAddrPort("127.0.0.1:1"), netip.AddrPort{}, member.Record{Health: member.Alive, Incarnation: 1, Peers: node, Readiness: member.Ready, Service: "ledger", Zone: "zone"})
-		address, shutdown := serveCallers(t, entry)
-		conn, err := net.Dial("tcp", address)
+		s := newCallerServer(t, entry)
+		conn, err := net.Dial("tcp", s.address)
 		assert.NilError(t, err)
 		_, err = fmt.Fprintf(conn, "POST /ledger/x %s\r\nHost: x\r\nContent-Length: %d\r\n\r\n", record[1], cutUploadBytes)
 		assert.NilError(t, err)
@@ -71,7 +71,7 @@
 			assert.ErrorContains(t, err, record[4])
 		}
 		assert.NilError(t, conn.Close())
-		shutdown()
+		s.shutdown(t)
 	})
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -41,6 +41,11 @@
 	}
 	u.beginResponse(header)
 	r.Stats.Answers.Add(strconv.Itoa(response.StatusCode/100)+"xx", 1)
+	// The end of an answer without a length is for a caller with HTTP/1.0 that of the connection.
+	endsWithConn := response.ContentLength < 0 && !req.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		resetOnClose(req.Context(), true)
+	}
 	w.WriteHeader(response.StatusCode)
 	complete := false
 	end := sync.OnceFunc(func() {
@@ -51,16 +56,18 @@
 	if err := copyBody(w, response); err != nil {
 		r.Stats.Answers.Add("Cut", 1)
 		r.logCut(time.Now(), req, c, err)
-		if response.ContentLength < 0 && !req.ProtoAtLeast(1, 1) {
+		if endsWithConn {
 			end()
 			// A caller whose write finds the reset reads an orderly end, so that the upload
 			// has to be over.
 			u.discardRest(time.Now())
-			resetOnClose(req.Context())
 		}
 		panic(http.ErrAbortHandler)
 	}
 	complete = true
+	if endsWithConn {
+		resetOnClose(req.Context(), false)
+	}
 	for name, values := range response.Trailer {
 		if !hopByHop[name] && !(native{}).Reserved(name) {
 			header[http.TrailerPrefix+name] = values
