Show resets to the soak, and leave writes alone at an end in order

Cause: the stand-in for the network between node and upstream, internal/fakes/proxy, has the same fault as the data path had: its write to the upstream gets the reset, the read of the answer ends in order, and the proxy ends the connection to the node in order. So the soak could show neither the fault nor its fix. The node read what came.

Change: the check moves from the pool to the package resets, which both use. It no longer ends a write in progress, since the proxy forwards uploads that go on after the other direction has ended: at the end of a connection it asks the kernel for the state of the socket, and looks for the error of a write only if the connection has ended in both directions, when no write waits.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/wasabibend/wasabibend/internal/conn/resets"
 )
 
 // conn is a connection with its buffers. It carries one request at a time.
@@ -21,11 +23,11 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	late := &lateReader{conn: nc}
-	s := &sender{conn: nc}
-	c := &conn{Conn: nc, late: late, limit: &readLimit{left: noLimit, reader: &endReader{reader: late, sender: s}}}
+	watched := resets.New(nc)
+	late := &lateReader{conn: watched}
+	c := &conn{Conn: nc, late: late, limit: &readLimit{left: noLimit, reader: late}}
 	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
-	c.writer = bufio.NewWriterSize(s, bufferSize)
+	c.writer = bufio.NewWriterSize(watched, bufferSize)
 	return c
 }
 
--- a/internal/fakes/proxy/proxy.go
+++ b/internal/fakes/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 
+	"github.com/wasabibend/wasabibend/internal/conn/resets"
 	"github.com/wasabibend/wasabibend/internal/pause"
 )
 
@@ -173,11 +174,12 @@
 	}()
 	var directions conc.WaitGroup
 	toTarget, toClient := make(chan struct{}), make(chan struct{})
+	clientSide, targetSide := resets.New(c.client), resets.New(c.target)
 	directions.Go(func() {
-		p.forward(ctx, c, direction{to: c.target, from: c.client, ended: toTarget, opposite: toClient, stalls: func(f Fault) bool { return f.StallToTarget }})
+		p.forward(ctx, c, direction{to: targetSide, closeTo: c.target.CloseWrite, from: clientSide, ended: toTarget, opposite: toClient, stalls: func(f Fault) bool { return f.StallToTarget }})
 	})
 	directions.Go(func() {
-		p.forward(ctx, c, direction{to: c.client, from: c.target, ended: toClient, opposite: toTarget, stalls: func(f Fault) bool { return f.StallFromTarget }})
+		p.forward(ctx, c, direction{to: clientSide, closeTo: c.client.CloseWrite, from: targetSide, ended: toClient, opposite: toTarget, stalls: func(f Fault) bool { return f.StallFromTarget }})
 	})
 	directions.Wait()
 }
@@ -195,7 +197,8 @@
 
 // direction is one direction of a connection.
 type direction struct {
-	from, to *net.TCPConn
+	closeTo  func() error // ends this direction at the receiver
+	from, to *resets.Conn
 	ended    chan struct{}    // closed when no more bytes are forwarded
 	opposite <-chan struct{}  // ended of the opposite direction
 	stalls   func(Fault) bool // reports whether a fault holds back this direction
@@ -229,7 +232,7 @@
 		}
 		switch {
 		case errors.Is(b.err, io.EOF):
-			_ = d.to.CloseWrite()
+			_ = d.closeTo()
 		case b.err != nil:
 			c.reset()
 		}
@@ -238,7 +241,7 @@
 
 // readBlocks reads from a connection into a channel until a read fails or the context
 // ends, and closes the channel. The last block has the error of the read.
-func readBlocks(ctx context.Context, from *net.TCPConn, blocks chan<- block) {
+func readBlocks(ctx context.Context, from io.Reader, blocks chan<- block) {
 	defer close(blocks)
 	buffer := make([]byte, 32<<10)
 	for {
--- a/internal/fakes/proxy/proxy_test.go
+++ b/internal/fakes/proxy/proxy_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wasabibend/wasabibend/internal/conn/resets"
 )
 
 // newEchoProxy returns a proxy in front of a server that sends back all bytes.
@@ -131,3 +133,29 @@
 		<-sent
 	}
 }
+
+// TestResetWithinAnswer guards against a proxy that ends a connection in order although the
+// server has reset it, because the proxy's write to the server got the reset.
+func TestResetWithinAnswer(t *testing.T) {
+	p := newProxy(t, func(c net.Conn) {
+		_, _ = io.ReadFull(c, make([]byte, 50000))
+		_, _ = c.Write(make([]byte, 1000))
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	for range 300 {
+		c := resets.New(dial(t, p))
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			for part := make([]byte, 8000); ; {
+				if _, err := c.Write(part); err != nil {
+					return
+				}
+			}
+		}()
+		_, err := io.Copy(io.Discard, c)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+		assert.NilError(t, c.Close())
+		<-sent
+	}
+}
