Play broken answers on real processes

The new bodies run "broken" of the soak plays them to callers with long bodies, a quarter of whose requests use HTTP/1.0, and checks that no caller gets a success from such an answer alone. A request that gets one may be cut.

Without the broken variant the callers send what they sent before.

--- a/internal/cmds/mimic/main.go
+++ b/internal/cmds/mimic/main.go
@@ -25,6 +25,7 @@
 func run() error {
 	var options mimic.Options
 	flag.TextVar(&options.Address, "address", netip.AddrPort{}, "the `address` at which the node reaches the upstream")
+	flag.Float64Var(&options.BrokenProbability, "broken", 0, "the `probability` that a request runs and gets a broken answer")
 	flag.TextVar(&options.Callers, "callers", netip.AddrPort{}, "the `address` of the node's listener for callers")
 	flag.Float64Var(&options.EarlyProbability, "early", 0, "the `probability` that a request with a long body is answered before the body has been read")
 	flag.StringVar(&options.Host, "host", "", "the `host` name in the upstream's own calls")
--- a/internal/cmds/soak/bodies.go
+++ b/internal/cmds/soak/bodies.go
@@ -10,14 +10,19 @@
 // bodiesRun is a run in which all callers send long bodies, and upstreams answer a large
 // part of them before they have read the body.
 type bodiesRun struct {
+	// broken is the probability that an upstream gives a request a broken answer.
+	broken float64
 	// cores is the number of cores that a node uses at a time, 0 for all.
 	cores int
 	// faults are injected in turn, none if it is empty.
 	faults []Fault
+	// oldProtocol is the fraction of requests with HTTP/1.0.
+	oldProtocol float64
 }
 
 // bodiesRuns are the variants of the bodies run.
 var bodiesRuns = map[string]bodiesRun{
+	"broken":     {broken: 0.5, oldProtocol: 0.25},
 	"kill":       {faults: []Fault{KillNode}},
 	"mixed":      {faults: []Fault{PauseNode, KillNode, PauseNode, StopNode}},
 	"pause":      {faults: []Fault{PauseNode}},
@@ -59,14 +64,18 @@
 
 // programPath implements variant.
 func (r bodiesRun) programPath(dir string, programPath func(name string) (string, error)) func(name string) (string, error) {
-	if r.cores == 0 {
-		return programPath
+	if r.broken > 0 {
+		programPath = programScript(dir, "mimic", "", fmt.Sprintf("-broken %g", r.broken), programPath)
 	}
-	return nodeScript(dir, programPath, fmt.Sprintf("export GOMAXPROCS=%d", r.cores))
+	if r.cores > 0 {
+		programPath = programScript(dir, "wasabibend", fmt.Sprintf("export GOMAXPROCS=%d", r.cores), "", programPath)
+	}
+	return programPath
 }
 
 // startCallers implements variant.
-func (bodiesRun) startCallers(ctx context.Context, c *callers, seed uint64) {
+func (r bodiesRun) startCallers(ctx context.Context, c *callers, seed uint64) {
+	c.oldProtocol = r.oldProtocol
 	for host := range c.hosts {
 		c.startUploading(ctx, host, seed, bodiesCallers)
 	}
--- a/internal/cmds/soak/bodytally.go
+++ b/internal/cmds/soak/bodytally.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/wasabibend/wasabibend/platform/mimic"
 )
@@ -15,6 +17,8 @@
 	// whole those of them that were complete. A request may have several.
 	read, whole int
 	bytes       int64
+	// broken counts the broken answers of upstreams, by form.
+	broken map[string]int
 	// early counts the answers that upstreams gave before they had read the body, by status.
 	early map[int]int
 	// refusedAndSent counts the requests that an upstream refused early and of which another
@@ -26,7 +30,7 @@
 }
 
 func newBodyTally(obs *Observations) *bodyTally {
-	t := &bodyTally{early: make(map[int]int)}
+	t := &bodyTally{broken: make(map[string]int), early: make(map[int]int)}
 	for i := range obs.Outcomes {
 		if o := &obs.Outcomes[i]; o.Upload {
 			t.addOutcome(o)
@@ -39,6 +43,9 @@
 	differing, refused := make(map[string]bool), make(map[string]bool)
 	readers := make(map[string]map[string]bool) // instances by request
 	for _, r := range obs.Records {
+		if isBroken(r) {
+			t.broken[r.Broken]++
+		}
 		if r.Kind != mimic.Read {
 			continue
 		}
@@ -101,4 +108,7 @@
 		t.requests, t.served, t.refused, t.otherAnswers, t.cut, t.timedOut)
 	fmt.Fprintf(out, "  all bodies: upstreams checked %d with %d bytes, %d of them whole; answered early: %d with 200, %d with 500, %d refused; %d requests were refused early and sent on; %d differ\n",
 		t.read, t.bytes, t.whole, t.early[http.StatusOK], t.early[http.StatusInternalServerError], t.early[http.StatusServiceUnavailable], t.refusedAndSent, t.differing)
+	for _, form := range slices.Sorted(maps.Keys(t.broken)) {
+		fmt.Fprintf(out, "  broken answers of upstreams, %s: %d\n", form, t.broken[form])
+	}
 }
--- a/internal/cmds/soak/callers.go
+++ b/internal/cmds/soak/callers.go
@@ -92,9 +92,10 @@
 // callers send requests to all hosts. They reuse their connections until those
 // are closed. The lock guards all fields below it.
 type callers struct {
-	hosts    []*procs.Host
-	operator *operator
-	workers  conc.WaitGroup
+	hosts       []*procs.Host
+	oldProtocol float64 // fraction of requests with long bodies that use HTTP/1.0
+	operator    *operator
+	workers     conc.WaitGroup
 
 	mu       sync.Mutex
 	outcomes []Outcome
--- a/internal/cmds/soak/check.go
+++ b/internal/cmds/soak/check.go
@@ -27,6 +27,7 @@
 
 // Guarantees without a time bound, which hold however slow the machine is.
 const (
+	guaranteeBroken   = "a broken answer of an upstream is a success for no caller"
 	guaranteeBody     = "an upstream reads only the bytes that the caller sent, each at its offset"
 	guaranteeCut      = "a request that runs is answered whole if no fault affects the hosts that it passes"
 	guaranteeCustomer = "a request runs for the customer of its key, and the upstream does not see the key"
@@ -120,25 +121,54 @@
 		c.addViolation(guaranteeOnce, "%s ran %d times", o.ID, runs)
 	}
 	if o.Response == nil {
-		if o.cut() && runs > 0 && !c.disturbed(o) {
+		if o.cut() && runs > 0 && !c.disturbed(o) && !c.anyBroken(o) {
 			c.addViolation(guaranteeCut, "%s to route %s at host %d, sent %v after the start, cut %v later: %v", o.ID, o.Route, o.Host+1, o.Sent.Sub(c.PlanStart), o.Done.Sub(o.Sent), o.Err)
 		}
 		return
 	}
 	switch {
 	case o.Response.Status == http.StatusOK && !o.Response.Verified:
-		c.addViolation(guaranteeComplete, "%s got a wrong or incomplete response at host %d", o.ID, o.Host+1)
+		c.addViolation(guaranteeComplete, "%s got a wrong or incomplete response at host %d%s", o.ID, o.Host+1, c.brokenForms(o))
+	case o.Response.Status == http.StatusOK && runs > 0 && c.allBroken(o):
+		c.addViolation(guaranteeBroken, "%s got a successful response at host %d%s", o.ID, o.Host+1, c.brokenForms(o))
 	case o.Response.BodyDiffers:
 		c.addViolation(guaranteeWhole, "%s got a successful response of an upstream that had read another whole body", o.ID)
 	case o.Response.Status == http.StatusOK && runs == 0:
 		c.addViolation(guaranteeComplete, "%s got a successful response but did not run", o.ID)
 	case o.Response.NotRun && runs > 0:
-		c.addViolation(guaranteeNotRun, "%s got status %d but ran %d times", o.ID, o.Response.Status, runs)
+		c.addViolation(guaranteeNotRun, "%s got status %d but ran %d times%s", o.ID, o.Response.Status, runs, c.brokenForms(o))
 	case c.refusedAsInvalid(o):
 		c.addViolation(guaranteeValid, "%s to route %s for customer %s got status %d at host %d", o.ID, o.Route, o.Customer, o.Response.Status, o.Host+1)
 	}
 }
 
+// anyBroken reports whether an upstream gave a request a broken answer, which may cut that of
+// its caller.
+func (c *checker) anyBroken(o *Outcome) bool {
+	return slices.ContainsFunc(c.runsByID[o.ID], isBroken)
+}
+
+// allBroken reports whether no upstream that ran a request gave it an answer in order.
+func (c *checker) allBroken(o *Outcome) bool {
+	return !slices.ContainsFunc(c.runsByID[o.ID], func(r mimic.Record) bool { return !isBroken(r) })
+}
+
+// brokenForms names the forms of the broken answers to a request, empty if there were none.
+func (c *checker) brokenForms(o *Outcome) string {
+	text := ""
+	for _, r := range c.runsByID[o.ID] {
+		if isBroken(r) {
+			text += "; an upstream answered with " + r.Broken
+		}
+	}
+	return text
+}
+
+// isBroken reports whether a run got a broken answer.
+func isBroken(r mimic.Record) bool {
+	return r.Broken != ""
+}
+
 // refusedAsInvalid reports whether a request was refused as invalid although it was
 // valid in every version of the configuration.
 func (c *checker) refusedAsInvalid(o *Outcome) bool {
--- a/internal/cmds/soak/check_test.go
+++ b/internal/cmds/soak/check_test.go
@@ -47,6 +47,27 @@
 			obs.Outcomes[0].Response = &mimic.Response{NotRun: true, Status: http.StatusServiceUnavailable}
 		}, guaranteeNotRun},
 		{"failed after it ran", func(obs *Observations) { obs.Outcomes[0].Response = &mimic.Response{Status: http.StatusBadGateway} }, ""},
+		{"success for a broken answer", func(obs *Observations) { obs.Records[0].Broken = "status 000" }, guaranteeBroken},
+		{"success for a broken answer and one in order", func(obs *Observations) {
+			obs.Records = append(obs.Records, obs.Records[0])
+			obs.Records[0].Broken = "status 000"
+		}, ""},
+		{"part of a broken answer", func(obs *Observations) {
+			obs.Outcomes[0].Response.Verified = false
+			obs.Records[0].Broken = "reset without a length"
+		}, guaranteeComplete},
+		{"failed with a broken answer", func(obs *Observations) {
+			obs.Outcomes[0].Response = &mimic.Response{Status: http.StatusBadGateway}
+			obs.Records[0].Broken = "status 000"
+		}, ""},
+		{"reported as not run with a broken answer", func(obs *Observations) {
+			obs.Outcomes[0].Response = &mimic.Response{NotRun: true, Status: http.StatusServiceUnavailable}
+			obs.Records[0].Broken = "promise behind a blank"
+		}, guaranteeNotRun},
+		{"cut after a broken answer", func(obs *Observations) {
+			cut(obs, time.Millisecond)
+			obs.Records[0].Broken = "reset without a length"
+		}, ""},
 		{"valid key refused", func(obs *Observations) {
 			obs.Outcomes[0].Response = &mimic.Response{Status: http.StatusUnauthorized}
 			obs.Records = nil
--- a/internal/cmds/soak/idle.go
+++ b/internal/cmds/soak/idle.go
@@ -78,7 +78,7 @@
 	if r.descriptors == 0 {
 		return programPath
 	}
-	return nodeScript(dir, programPath, fmt.Sprintf("ulimit -n %d", r.descriptors))
+	return programScript(dir, "wasabibend", fmt.Sprintf("ulimit -n %d", r.descriptors), "", programPath)
 }
 
 // startCallers implements variant.
--- a/internal/cmds/soak/uploads.go
+++ b/internal/cmds/soak/uploads.go
@@ -73,32 +73,38 @@
 	}
 }
 
-// randomUpload returns a request that is as likely idempotent as not.
+// randomUpload returns a request that is as likely idempotent as not. With HTTP/1.0 its body
+// has a length.
 func (u *uploadCaller) randomUpload(conn net.Conn, reader *bufio.Reader) *longRequest {
 	route := routeStore
 	if u.random.IntN(2) == 0 {
 		route = routeUpload
 	}
 	id := fmt.Sprintf("u-%016x", u.random.Uint64())
-	return &longRequest{
-		asked: make(chan struct{}, 1), conn: conn, ended: make(chan struct{}), reader: reader,
+	next := &longRequest{
+		asked: make(chan struct{}, 1), conn: conn, ended: make(chan struct{}), protocol: "HTTP/1.1", reader: reader,
 		request: &mimic.Request{
 			Address: u.callers.hosts[u.host].Callers(), BodyBytes: minUploadBytes + u.random.IntN(maxUploadBytes-minUploadBytes), Chunked: u.random.Float64() < chunkedFraction,
 			Expect: u.random.Float64() < expectFraction, Host: hostName, ID: id, Key: "key-amis", Method: http.MethodPost, Path: "/" + route + "/" + id, Timeout: callerTimeout,
 		},
 		route: route, time: uploadTimes[u.random.IntN(len(uploadTimes))],
 	}
+	if u.callers.oldProtocol > 0 && u.random.Float64() < u.callers.oldProtocol {
+		next.protocol, next.request.Chunked, next.request.Expect = "HTTP/1.0", false, false
+	}
+	return next
 }
 
 // longRequest is a request with a long body.
 type longRequest struct {
-	asked   chan struct{} // receives when the node asks for the body
-	conn    net.Conn
-	ended   chan struct{} // closed when no more interim responses are read
-	reader  *bufio.Reader
-	request *mimic.Request
-	route   string
-	time    time.Duration // within which the body is sent
+	asked    chan struct{} // receives when the node asks for the body
+	conn     net.Conn
+	ended    chan struct{} // closed when no more interim responses are read
+	protocol string
+	reader   *bufio.Reader
+	request  *mimic.Request
+	route    string
+	time     time.Duration // within which the body is sent
 }
 
 // exchange sends the request and reads its response meanwhile. It returns when the body
@@ -176,7 +182,7 @@
 		request.Header.Set("Content-Length", fmt.Sprint(u.request.BodyBytes))
 	}
 	writer := bufio.NewWriter(u.conn)
-	fmt.Fprintf(writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.URL.RequestURI(), request.Host)
+	fmt.Fprintf(writer, "%s %s %s\r\nHost: %s\r\n", request.Method, request.URL.RequestURI(), u.protocol, request.Host)
 	if err := request.Header.Write(writer); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/cmds/soak/uploads_test.go
+++ b/internal/cmds/soak/uploads_test.go
@@ -37,7 +37,7 @@
 			defer client.Close()
 			defer server.Close()
 			request := &mimic.Request{Address: netip.MustParseAddrPort("127.0.0.1:80"), BodyBytes: 20000, Chunked: c.chunked, Expect: c.expect, Host: hostName, ID: "u-1", Method: http.MethodPost, Path: "/upload/u-1", Timeout: time.Minute}
-			long := &longRequest{asked: make(chan struct{}, 1), conn: client, ended: make(chan struct{}), reader: bufio.NewReader(client), request: request, route: routeUpload}
+			long := &longRequest{asked: make(chan struct{}, 1), conn: client, ended: make(chan struct{}), protocol: "HTTP/1.1", reader: bufio.NewReader(client), request: request, route: routeUpload}
 			type result struct {
 				outcome Outcome
 				open    bool
--- a/internal/cmds/soak/variant.go
+++ b/internal/cmds/soak/variant.go
@@ -54,16 +54,16 @@
 	return strings.Join(slices.Sorted(maps.Keys(runs)), ", ")
 }
 
-// nodeScript returns a function for the paths of programs. That of the node is a script in
-// a directory that runs a shell command before it.
-func nodeScript(dir string, programPath func(name string) (string, error), command string) func(name string) (string, error) {
+// programScript returns a function for the paths of programs. That of one program is a script
+// in a directory that runs a shell command before it and adds arguments to its own.
+func programScript(dir, program, command, arguments string, programPath func(name string) (string, error)) func(name string) (string, error) {
 	return func(name string) (string, error) {
 		path, err := programPath(name)
-		if err != nil || name != "wasabibend" {
+		if err != nil || name != program {
 			return path, trace.Wrap(err)
 		}
-		script := filepath.Join(dir, "node.sh")
-		text := fmt.Sprintf("#!/bin/sh\n%s\nexec '%s' \"$@\"\n", command, path)
+		script := filepath.Join(dir, program+".sh")
+		text := fmt.Sprintf("#!/bin/sh\n%s\nexec '%s' \"$@\" %s\n", command, path, arguments)
 		return script, trace.ConvertSystemError(os.WriteFile(script, []byte(text), 0o700))
 	}
 }
