--- a/internal/cmds/soak/bodies.go
+++ b/internal/cmds/soak/bodies.go
@@ -22,7 +22,7 @@
 
 // bodiesRuns are the variants of the bodies run.
 var bodiesRuns = map[string]bodiesRun{
-	"broken":     {broken: 0.5, oldProtocol: 0.25},
+	"broken":     {broken: 0.5, oldProtocol: 0.5},
 	"kill":       {faults: []Fault{KillNode}},
 	"mixed":      {faults: []Fault{PauseNode, KillNode, PauseNode, StopNode}},
 	"pause":      {faults: []Fault{PauseNode}},
