Share the senders and readers of tests of cut answers

Two tests of the proxy wrote the same loop, and TestBrokenHeads used a server of its own where the stand-in canned does. No check changes; proxy and pool pass 3 times with -race.

--- a/internal/conn/pool/broken_test.go
+++ b/internal/conn/pool/broken_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wasabibend/wasabibend/internal/fakes/canned"
 	"github.com/wasabibend/wasabibend/internal/fakes/steps"
 )
 
@@ -12,7 +13,7 @@
 // accepted although its head is broken, or from which another one is read.
 func TestBrokenHeads(t *testing.T) {
 	steps.Cases(t, "testdata/broken.csv", func(t *testing.T, record []string) {
-		body, err := readCut(t, unquote(t, record[1]))
+		body, err := readFrom(t, canned.Serve(t, record[1]))
 		if record[2] != "" {
 			assert.ErrorContains(t, err, record[2])
 			return
--- a/internal/conn/pool/cut_test.go
+++ b/internal/conn/pool/cut_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -56,7 +57,13 @@
 			_, _ = io.WriteString(c, sent)
 		}
 	}()
-	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	return readFrom(t, listener.Addr().(*net.TCPAddr).AddrPort())
+}
+
+// readFrom sends a request to a server and returns the body of the response, which may have no
+// length.
+func readFrom(t *testing.T, address netip.AddrPort) (string, error) {
+	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://x/", nil)
 	assert.NilError(t, err)
 	response, err := New().Do(t.Context(), &Call{AllowUnframed: true, Deadline: time.Now().Add(time.Minute), Request: request, To: address})
--- a/internal/fakes/proxy/proxy_test.go
+++ b/internal/fakes/proxy/proxy_test.go
@@ -106,6 +106,20 @@
 	assert.Check(t, errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF), "%v", err)
 }
 
+// sendUntilError sends bytes until that fails, and returns a channel that is closed then.
+func sendUntilError(c io.Writer) <-chan struct{} {
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for part := make([]byte, 8000); ; {
+			if _, err := c.Write(part); err != nil {
+				return
+			}
+		}
+	}()
+	return sent
+}
+
 // TestResetAfterAnswer guards against an answer that is lost on its way because the server
 // resets the connection after it, as it does if it closes the connection while the client
 // still sends. Without a proxy, the answer arrives.
@@ -117,15 +131,7 @@
 	})
 	for range 300 {
 		c := dial(t, p)
-		sent := make(chan struct{})
-		go func() {
-			defer close(sent)
-			for part := make([]byte, 8000); ; {
-				if _, err := c.Write(part); err != nil {
-					return
-				}
-			}
-		}()
+		sent := sendUntilError(c)
 		// The error is that of the reset.
 		n, _ := io.Copy(io.Discard, c)
 		assert.Equal(t, n, int64(answerBytes))
@@ -144,15 +150,7 @@
 	})
 	for range 300 {
 		c := resets.New(dial(t, p))
-		sent := make(chan struct{})
-		go func() {
-			defer close(sent)
-			for part := make([]byte, 8000); ; {
-				if _, err := c.Write(part); err != nil {
-					return
-				}
-			}
-		}()
+		sent := sendUntilError(c)
 		_, err := io.Copy(io.Discard, c)
 		assert.ErrorIs(t, err, syscall.ECONNRESET)
 		assert.NilError(t, c.Close())
