Deliver whole answers whose trailers have names with blanks

A trailer says nothing of how the body ends or what follows it, the body is whole by its last chunk, and the line reached no caller before: the case was handled, and a ready answer is to be delivered.

Change: the check of trailers is taken back; heads, interim ones included, are checked as before, since what follows them depends on them. TestOddTrailer is as strict for callers: the body whole, the fields in order passed on, the other lines not.

TestBrokenHeads, TestBrokenAnswers and the packages conn, relay and platform pass.

--- a/internal/conn/heads/heads.go
+++ b/internal/conn/heads/heads.go
@@ -18,7 +18,7 @@
 	case response.StatusCode < http.StatusOK && announcesBody(response):
 		return errors.New("the interim answer announces a body")
 	}
-	return CheckNames(response.Header)
+	return checkNames(response.Header)
 }
 
 // announcesBody reports whether the fields of an interim response say that a body follows.
@@ -28,12 +28,11 @@
 	return length != "" || len(response.TransferEncoding) > 0
 }
 
-// CheckNames returns an error if the name of a field in a head or a trailer is not a token.
-// net/http accepts names with blanks, also in front of the colon, and takes them for others
-// than those without. Names without a value have only been announced for a trailer.
-func CheckNames(fields http.Header) error {
-	for name, values := range fields {
-		if len(values) > 0 && !isToken(name) {
+// checkNames returns an error if the name of a field is not a token. net/http accepts names
+// with blanks, also in front of the colon, and takes them for others than those without.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !isToken(name) {
 			return fmt.Errorf("%.60q in the answer is not the name of a field", name)
 		}
 	}
--- a/internal/conn/pool/exchange.go
+++ b/internal/conn/pool/exchange.go
@@ -255,7 +255,7 @@
 }
 
 // Read implements io.Reader. It waits for data until the call's deadline, and for
-// BodyIdleTimeout at most. A body with a broken trailer does not end with io.EOF.
+// BodyIdleTimeout at most.
 func (b *body) Read(p []byte) (int, error) {
 	if b.done {
 		return 0, io.EOF
@@ -267,9 +267,6 @@
 	}
 	n, err := b.inner.Read(p)
 	if errors.Is(err, io.EOF) {
-		if err := heads.CheckNames(b.exchange.response.Trailer); err != nil {
-			return n, err
-		}
 		b.done = true
 	}
 	return n, err
