--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 # deploy/system.toml and review/build-3.sh first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rig3 ] && [ -x target/wasabibend ] || exit 2
-exec target/rig3 leave review/13 .
+exec target/rig3 stop review/13 .
