Let the tenant use up its burst before the kill of case 10

Cause: with the kill after 1.5 s the burst was just used up.

Done: the kill comes after 2 s. The bound is as it was.

--- a/review/_rig3/quota.go
+++ b/review/_rig3/quota.go
@@ -59,7 +59,7 @@
 		}
 	}()
 	if trouble {
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(2 * time.Second)
 		for _, h := range f.hosts {
 			f.signal(h, syscall.SIGKILL)
 		}
