Refuse late requests at a stop that may not end in time

Cause: for the whole of LameDuck a request was judged by the longest time that those of its route lately took, at the entry and at the gate. That bounds no later request. The users' rules excuse such a cut for requests sent in the first three seconds only.

Ruled out: a drain time that is too short (requests of 4 s are cut as well, and the process is killed at 6 s); forgotten durations (once one of 2.2 s has ended, others are refused).

Change: from three seconds after the signal on, only the time limit counts, so that what is accepted is answered. A request that has waited for its body, or that another node refused, is judged again before it is sent on. What may be a sub-call is not refused by its limit, as a request in flight would fail: its limit is shortened to the end of the drain time.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -59,6 +59,11 @@
 // node still sends calls to the upstream beside it.
 const upstreamLameDuckShare = 0.92
 
+// estimateTime is for how long a stopping node accepts requests that end in time if they take
+// no longer than others of their route lately took. The platform's rules allow that a stop cuts
+// requests that were sent by then, and none that was sent later.
+const estimateTime = 3 * time.Second
+
 // Node is one process of the fleet, which runs beside an upstream.
 type Node struct {
 	agent       *member.Agent
@@ -351,11 +356,12 @@
 // the end it tells its neighbours that it is dead.
 func (n *Node) drain(ctx context.Context, servers []*server) {
 	n.log.Info().Dur("Within", n.settings.Load().Drain).Msg("node is draining")
-	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Load().Drain)
+	began := time.Now()
+	drainCtx, cancel := context.WithDeadline(ctx, began.Add(n.settings.Load().Drain))
 	defer cancel()
 	n.leaving.Store(true)
 	if end, ok := drainCtx.Deadline(); ok {
-		n.relay.FinishBy(end)
+		n.relay.FinishBy(end, began.Add(estimateTime))
 	}
 	n.relay.DisableKeepAlives()
 	n.agent.SendToNeighbours(ctx, []member.Record{n.table.SetSelfLeaving(time.Now())})
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -30,6 +30,7 @@
 	received    time.Time
 	regions     []string // in which the request may be served; nil for all
 	release     func()   // releases the claim of the idempotency key; nil without one
+	route       string   // of a caller's request; empty for a sub-call
 }
 
 // rootCall returns the call of an admitted request of a caller.
@@ -53,6 +54,8 @@
 	}
 	if p.subCall {
 		c.chain.Depth = 1
+	} else {
+		c.route = p.route
 	}
 	if p.objective > 0 {
 		c.due = now.Add(p.objective)
--- a/internal/request/relay/changes_test.go
+++ b/internal/request/relay/changes_test.go
@@ -121,7 +121,7 @@
 		catalog.Customers = nil
 	case "node draining":
 		node.CloseGate()
-		node.FinishBy(time.Now())
+		node.FinishBy(time.Now(), time.Now())
 	case "rate lowered":
 		catalog.Customers[0].Rate, catalog.Customers[0].Burst = 0.01, 0.01
 	case "regions restricted":
--- a/internal/request/relay/finish.go
+++ b/internal/request/relay/finish.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wasabibend/wasabibend/pkg/refuse"
 )
 
 const (
@@ -57,32 +59,63 @@
 	d.begunAt = now
 }
 
-// FinishBy makes the relay refuse new requests that would probably not end before a time.
-func (r *Relay) FinishBy(end time.Time) {
-	r.finishBy.Store(&end)
+// finish tells when a stopping node ends.
+type finish struct {
+	by         time.Time // requests in flight are then cut
+	provenFrom time.Time // requests received from then on are accepted only if their time limit ends before by
+}
+
+// FinishBy makes the relay refuse new requests that would probably not end before a time, and
+// from provenFrom on all whose time limit ends later.
+func (r *Relay) FinishBy(by, provenFrom time.Time) {
+	r.finish.Store(&finish{by: by, provenFrom: provenFrom})
 }
 
 // mayFinish reports whether a request that takes at most the time limit ends before the
 // node does, judged by the longest time that those of the same name lately took. Without
-// any, the limit counts.
-func (r *Relay) mayFinish(now time.Time, lately *durations, name string, limit time.Duration) bool {
-	end := r.finishBy.Load()
+// any, and for a request that was received when the node accepts only what certainly ends in
+// time, the limit counts.
+func (r *Relay) mayFinish(now, received time.Time, lately *durations, name string, limit time.Duration) bool {
+	end := r.finish.Load()
 	if end == nil {
 		return true
 	}
 	expected := limit
-	if longest, known := lately.longest(now, name); known {
+	if longest, known := lately.longest(now, name); known && received.Before(end.provenFrom) {
 		expected = min(limit, longest)
 	}
-	return !now.Add(expected + finishMargin).After(*end)
+	return !now.Add(expected + finishMargin).After(end.by)
 }
 
 // mayFinishRoot reports whether a request of a caller ends before the node does. One that may
-// be a sub-call ends with the request that it is made for, so its limit does not count, but
-// the times that requests of its route lately took do: it may be a caller's after all.
+// be a sub-call was begun by a request in flight, which fails without it: it is judged only by
+// the times that requests of its route lately took, as it may be a caller's after all, and
+// limitSubCall shortens its time.
 func (r *Relay) mayFinishRoot(now time.Time, p *policy, info CallerInfo) bool {
-	if _, known := r.rootDurations.longest(now, p.route); p.subCall && !known {
-		return true
+	if !p.subCall {
+		return r.mayFinish(now, now, r.rootDurations, p.route, p.longest(info))
 	}
-	return r.mayFinish(now, r.rootDurations, p.route, p.longest(info))
+	_, known := r.rootDurations.longest(now, p.route)
+	return !known || r.mayFinish(now, time.Time{}, r.rootDurations, p.route, p.longest(info))
+}
+
+// limitSubCall shortens the time limit of what may be a sub-call so that it ends before the node
+// does, once the node accepts only requests that certainly end in time. The upstream that
+// runs it then gives up in time for the answer to reach the caller.
+func (r *Relay) limitSubCall(now time.Time, p *policy) {
+	if end := r.finish.Load(); p.subCall && end != nil && !now.Before(end.provenFrom) {
+		p.timeout = min(p.timeout, max(end.by.Sub(now)-finishMargin, 0))
+	}
+}
+
+// mayStillFinish reports whether a request that was accepted earlier, and has waited since,
+// still ends before the node does. Sub-calls end with their root requests.
+func (s *session) mayStillFinish(now time.Time) bool {
+	return s.route == "" || s.relay.mayFinish(now, s.received, s.relay.rootDurations, s.route, s.deadline.Sub(now))
+}
+
+// endsTooEarlyRefusal returns the refusal of a request for which mayFinishRoot or mayStillFinish
+// is false.
+func endsTooEarlyRefusal() *refuse.Refusal {
+	return refuse.New(refuse.Draining, defaultRetryAfter, "the node ends before the request would")
 }
--- a/internal/request/relay/opencallers_test.go
+++ b/internal/request/relay/opencallers_test.go
@@ -58,7 +58,7 @@
 		r.rootDurations.record(now, "reserve", took)
 	}
 	left, _ := duration(t, record[4])
-	r.FinishBy(now.Add(left))
+	r.FinishBy(now.Add(left), now.Add(left))
 	if record[5] == "closed" {
 		r.CloseEntry()
 	}
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -153,7 +153,7 @@
 	if r.gateClosed.Load() {
 		return nil, refuse.New(refuse.Draining, defaultRetryAfter, "the upstream's node is leaving")
 	}
-	if !r.mayFinish(now, r.callDurations, durationName(c), c.Remaining) {
+	if !r.mayFinish(now, now, r.callDurations, durationName(c), c.Remaining) {
 		return nil, refuse.New(refuse.Draining, defaultRetryAfter, "the upstream's node ends before the request would")
 	}
 	address, instance, ok := r.Local.Upstream(c.Service)
@@ -200,10 +200,12 @@
 }
 
 // accepted reports whether the admitted call may still be sent to the upstream, or once more:
-// neither has begun to leave, the upstream or its node, and their zone is not evacuated.
+// neither has begun to leave, the upstream or its node, their zone is not evacuated, and the
+// node does not end before the call would.
 func (lc *localCall) accepted(now time.Time) bool {
 	r := lc.relay
-	return !r.gateClosed.Load() && !r.Gate.Closed() && r.Local.Accepts(now, lc.instance)
+	return !r.gateClosed.Load() && !r.Gate.Closed() && r.Local.Accepts(now, lc.instance) &&
+		r.mayFinish(now, now, r.callDurations, durationName(&lc.running.Chain), lc.deadline.Sub(now))
 }
 
 // recheck returns a refusal if the upstream has begun to leave, or the gate was closed, while
@@ -218,7 +220,7 @@
 	r.Crashes.End(now, lc.run, false)
 	r.Gate.Abandon(now, lc.ticket)
 	lc.span.End()
-	return refuse.New(refuse.NoUpstream, defaultRetryAfter, "the upstream left while the body of the request was awaited")
+	return refuse.New(refuse.NoUpstream, defaultRetryAfter, "the upstream or its node left while the body of the request was awaited")
 }
 
 // upstreamRequest returns the request to send to the upstream, and its body, which
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -155,9 +155,9 @@
 	inFlight           atomic.Int64
 	gateClosed         atomic.Bool
 	entryClosed        atomic.Bool
-	callDurations      *durations // of calls to the local upstream, by route or service
-	finishBy           atomic.Pointer[time.Time]
-	rootDurations      *durations // of callers' requests, by route
+	callDurations      *durations             // of calls to the local upstream, by route or service
+	finish             atomic.Pointer[finish] // nil before the node stops
+	rootDurations      *durations             // of callers' requests, by route
 	keepAlivesDisabled atomic.Bool
 	proofs             sync.Map            // of the fleet's secret: netip.AddrPort to string
 	callRetries        *chain.RetryLimiter // of calls to nodes
@@ -280,9 +280,10 @@
 		return
 	}
 	if !r.mayFinishRoot(now, &p, info) {
-		r.rejectCaller(w, req, id, &p, refuse.New(refuse.Draining, defaultRetryAfter, "the node ends before the request would"))
+		r.rejectCaller(w, req, id, &p, endsTooEarlyRefusal())
 		return
 	}
+	r.limitSubCall(now, &p)
 	done, refusal := r.admitCaller(req.Context(), now, &p)
 	if refusal != nil {
 		r.rejectCaller(w, req, id, &p, refusal)
--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -138,6 +138,10 @@
 			last = callerLeftRefusal()
 			break
 		}
+		if !s.mayStillFinish(now) {
+			last = moreSpecific(last, endsTooEarlyRefusal())
+			break
+		}
 		nodes, none := s.relay.candidates(s.chain.Service, s.regions)
 		if none != nil {
 			last = moreSpecific(last, none)
