Prefer nodes that stay at a stopping entry

Cause: the entry sent these calls to the node that had got its signal a second earlier, whose drain time ends a second earlier, too. The estimate at that gate, by requests that lately took 0.1 s, let them in.

Ruled out: the entry's own drain time (they failed a second before its end).

Change: a node that stops sends calls to other nodes that stop only if none stays. Its own upstream counts as before, as it ends with the entry.

Conclusion: mended for entries that stop. A node that stays may still send a long call to the gate of one that stops; it then answers 502, which no rule of the users counts.

--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -182,6 +182,9 @@
 	if evacuated || regions != nil {
 		nodes = r.filter(nodes, regions)
 	}
+	if r.finish.Load() != nil {
+		nodes = r.preferStaying(nodes)
+	}
 	switch {
 	case len(nodes) > 0:
 		return nodes, nil
@@ -212,6 +215,25 @@
 	return kept
 }
 
+// preferStaying returns the nodes that are not about to stop and this one, or all nodes if no
+// other one stays: a node that stops earlier than this one would cut a call that this one still
+// has time to answer.
+func (r *Relay) preferStaying(nodes []member.Record) []member.Record {
+	var kept []member.Record
+	staying := false
+	for i := range nodes {
+		if nodes[i].Leaving && nodes[i].Peers != r.Self {
+			continue
+		}
+		staying = staying || !nodes[i].Leaving
+		kept = append(kept, nodes[i])
+	}
+	if !staying {
+		return nodes
+	}
+	return kept
+}
+
 // saysUnavailable reports whether a refusal only says that a node sends no requests to its
 // upstream at the time.
 func saysUnavailable(refusal *refuse.Refusal) bool {
