Notice upstreams that crash after the end of a call

What callers saw: a request whose caller left 150 ms after it was sent, and that crashed its upstream after 300 ms, was never quarantined, whether a part of the answer had come or nothing: 16 crashes by 16 requests. The same for an upstream that cut the connection 200 ms before it ended.

Cause: no crash was looked for once the caller had left or the deadline had passed, and the probe of 50 ms found the upstream alive. The run was over by then, so that a crash noticed by others did not count it either.

Ruled out: a report that the caller's repeat outran (none is made).

Change: a run that ended while the upstream may still run the request counts as in flight for another second, unless the request is known to succeed. Meanwhile one connection for all such runs watches the upstream; if it ends and the probe fails, the crash is reported. The slot at the gate is free at once. Probes use a dialer of the relay's options, so that tests in virtual time can stand in.

Conclusion: mended for crashes within a second of the end of a call.

--- a/internal/process/crash/crash.go
+++ b/internal/process/crash/crash.go
@@ -191,7 +191,14 @@
 	return ok && now.Sub(at) < suspectTime
 }
 
-// isInnocent reports whether a request has succeeded recently.
+// Innocent reports whether a request has succeeded recently, so that it is no suspect.
+func (t *Table) Innocent(now time.Time, f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isInnocent(now, f)
+}
+
+// isInnocent is Innocent for a caller that holds the lock.
 func (t *Table) isInnocent(now time.Time, f Fingerprint) bool {
 	return t.succeededRecently(f) || t.isCleared(now, f)
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -246,29 +246,30 @@
 	})
 	n.requestLog = relay.NewRequestLog(log)
 	n.relay = relay.New(relay.Options{
-		Admitter:  n.quota,
-		Catalog:   n.catalog,
-		Claimer:   n.claims,
-		Config:    n.config,
-		Conns:     n.conns,
-		Crashes:   n.crashes,
-		Dialect:   n.dialect,
-		FirstByte: settings.FirstByte,
-		Gate:      n.gate,
-		Idle:      settings.Idle,
-		InFlight:  settings.InFlight,
-		Local:     n.upstream,
-		Log:       n.requestLog,
-		Pool:      n.pool,
-		Regions:   settings.Regions,
-		Secret:    settings.Secret,
-		Self:      settings.Peers,
-		Service:   settings.Service,
-		Stats:     n.stats,
-		Table:     n.table,
-		Tracer:    tracer,
-		Zone:      settings.Zone,
-		Zones:     n.zones,
+		Admitter:   n.quota,
+		Background: ctx,
+		Catalog:    n.catalog,
+		Claimer:    n.claims,
+		Config:     n.config,
+		Conns:      n.conns,
+		Crashes:    n.crashes,
+		Dialect:    n.dialect,
+		FirstByte:  settings.FirstByte,
+		Gate:       n.gate,
+		Idle:       settings.Idle,
+		InFlight:   settings.InFlight,
+		Local:      n.upstream,
+		Log:        n.requestLog,
+		Pool:       n.pool,
+		Regions:    settings.Regions,
+		Secret:     settings.Secret,
+		Self:       settings.Peers,
+		Service:    settings.Service,
+		Stats:      n.stats,
+		Table:      n.table,
+		Tracer:     tracer,
+		Zone:       settings.Zone,
+		Zones:      n.zones,
 	})
 	return n, nil
 }
@@ -331,6 +332,7 @@
 		_ = s.http.Close()
 	}
 	workers.Wait()
+	n.relay.Wait()
 	n.pool.Wait()
 	n.background.Wait()
 	n.claims.Wait()
--- a/internal/request/relay/crashed.go
+++ b/internal/request/relay/crashed.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
+	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -25,27 +25,43 @@
 // running the request.
 func (lc *localCall) checkCrash(err error) bool {
 	var sendErr *pool.SendError
+	unsent := errors.As(err, &sendErr) && !sendErr.Sent
+	ended := lc.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
-	case lc.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
+	case ended && unsent:
 		return false
-	case errors.As(err, &sendErr) && !sendErr.Sent:
+	case unsent:
 		lc.relay.Local.MarkDown(lc.instance)
 		return false
-	case !acceptsConnections(lc.address):
-		lc.relay.Local.MarkDown(lc.instance)
-		lc.relay.Crashes.ReportCrash(time.Now())
-		return true
+	case ended || lc.relay.acceptsConnections(lc.address):
+		lc.mayStillRun = true
+		return false
+	}
+	lc.relay.Local.MarkDown(lc.instance)
+	lc.relay.Crashes.ReportCrash(time.Now())
+	return true
+}
+
+// endRun ends the run of a call that has ended. If the upstream may still run the request, and
+// it is not known to succeed, the run goes on for lateCrashTime.
+func (lc *localCall) endRun(now time.Time, failed bool) {
+	r := lc.relay
+	if lc.mayStillRun && !r.Crashes.Innocent(now, lc.running.Chain.Fingerprint) {
+		r.crashWatch.begin(now, lc.address, lc.instance, lc.run)
+		return
 	}
-	return false
+	r.Crashes.End(now, lc.run, !failed)
 }
 
 // acceptsConnections reports whether a process accepts and keeps a connection at an
 // address. The listener of a process that is terminating may still accept
 // connections, but they are closed at once.
-func acceptsConnections(address netip.AddrPort) bool {
-	c, err := net.DialTimeout("tcp", address.String(), probeTimeout)
+func (r *Relay) acceptsConnections(address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(r.Background, probeTimeout)
+	defer cancel()
+	c, err := r.Dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return false
+		return r.Background.Err() != nil // nothing is known of the upstream then
 	}
 	defer c.Close()
 	if err := c.SetReadDeadline(time.Now().Add(probeTimeout)); err != nil {
--- a/internal/request/relay/peer.go
+++ b/internal/request/relay/peer.go
@@ -126,12 +126,15 @@
 	// enteredAt is when the call came to the gate.
 	enteredAt time.Time
 	instance  string // ID of the upstream's instance, empty if unknown
-	relay     *Relay
-	run       *crash.Run
-	running   *chain.RunningRequest
-	span      trace.Span
-	ticket    *gates.Ticket
-	token     string
+	// mayStillRun is set when the call ends without a whole response although the upstream
+	// may still run the request.
+	mayStillRun bool
+	relay       *Relay
+	run         *crash.Run
+	running     *chain.RunningRequest
+	span        trace.Span
+	ticket      *gates.Ticket
+	token       string
 }
 
 // enterGate waits until the gate admits a call, or returns a refusal. The parameter
@@ -285,8 +288,11 @@
 	failed := response.StatusCode >= http.StatusInternalServerError
 	finish := func(err error) {
 		var cut *bodyReadError
-		if errors.As(err, &cut) {
+		switch {
+		case errors.As(err, &cut):
 			lc.checkCrash(cut.Err)
+		case err != nil:
+			lc.mayStillRun = true
 		}
 		lc.finish(failed || err != nil)
 	}
@@ -360,7 +366,7 @@
 	if !errors.As(err, &sendErr) || !sendErr.StaleConnection && !errors.Is(err, pool.ErrUnnamed) || !c.Idempotent || request.Body != nil || tries >= maxLocalTries || lc.ctx.Err() != nil {
 		return false
 	}
-	return lc.accepted(now) && acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
+	return lc.accepted(now) && lc.relay.acceptsConnections(lc.address) && lc.relay.localRetries.TakeRetry(now, c.Service, retryReserve(c)) && lc.relay.Gate.TakeRepeat(now)
 }
 
 // maxLocalTries is the maximum number of times that one request is sent to the
@@ -429,7 +435,7 @@
 	lc.relay.tokens.Revoke(lc.token)
 	lc.cancel(nil)
 	now := time.Now()
-	lc.relay.Crashes.End(now, lc.run, !failed)
+	lc.endRun(now, failed)
 	lc.relay.Gate.Leave(now, lc.ticket, failed)
 	lc.relay.callDurations.record(now, durationName(&lc.running.Chain), now.Sub(lc.enteredAt))
 	lc.span.End()
--- a/internal/request/relay/peer_test.go
+++ b/internal/request/relay/peer_test.go
@@ -12,10 +12,11 @@
 // ended, and one that is terminating, whose listener still accepts connections but
 // closes them at once.
 func TestAcceptsConnections(t *testing.T) {
+	r := newRelay(t, netip.AddrPort{}, netip.AddrPort{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
-	assert.Check(t, acceptsConnections(address), "the listener is open")
+	assert.Check(t, r.acceptsConnections(address), "the listener is open")
 
 	ending, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -29,8 +30,8 @@
 			_ = c.Close()
 		}
 	}()
-	assert.Check(t, !acceptsConnections(ending.Addr().(*net.TCPAddr).AddrPort()), "the listener closes connections at once")
+	assert.Check(t, !r.acceptsConnections(ending.Addr().(*net.TCPAddr).AddrPort()), "the listener closes connections at once")
 
 	assert.NilError(t, listener.Close())
-	assert.Check(t, !acceptsConnections(netip.AddrPortFrom(address.Addr(), address.Port())), "the listener is closed")
+	assert.Check(t, !r.acceptsConnections(netip.AddrPortFrom(address.Addr(), address.Port())), "the listener is closed")
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -78,6 +79,8 @@
 	// End records that a request has ended. One that succeeded is no longer a
 	// suspect.
 	End(now time.Time, run *crash.Run, succeeded bool)
+	// Innocent reports whether a request has succeeded recently, so that it is no suspect.
+	Innocent(now time.Time, f crash.Fingerprint) bool
 	// QuarantineLeft returns how long a request stays quarantined, 0 if it is not.
 	QuarantineLeft(now time.Time, f crash.Fingerprint) time.Duration
 	// ReportCrash records that the upstream crashed, and informs the other nodes.
@@ -104,6 +107,8 @@
 // Options are the settings and dependencies of a Relay.
 type Options struct {
 	Admitter Admitter
+	// Background ends the work that outlasts requests; it defaults to one that never ends.
+	Background context.Context
 	// Catalog holds the catalog of the platform. If it is nil, the table in
 	// Config applies.
 	Catalog *snaps.Holder
@@ -115,6 +120,9 @@
 	Conns *conns.Tracker
 	// Dialect defaults to the native one.
 	Dialect Dialect
+	// Dialer opens the connections by which the local upstream is probed; it defaults to a
+	// net.Dialer.
+	Dialer pool.Dialer
 	// FirstByte bounds the wait for the header of an upstream's response.
 	FirstByte time.Duration
 	Gate      *gates.Gate
@@ -152,6 +160,7 @@
 	balancer           *Balancer
 	calls              atomic.Uint64 // number of the last call, see callID
 	callees            *callees
+	crashWatch         *crashWatch
 	inFlight           atomic.Int64
 	gateClosed         atomic.Bool
 	entryClosed        atomic.Bool
@@ -169,9 +178,15 @@
 
 // New returns a Relay.
 func New(options Options) *Relay {
+	if options.Background == nil {
+		options.Background = context.Background()
+	}
 	if options.Dialect == nil {
 		options.Dialect = native{}
 	}
+	if options.Dialer == nil {
+		options.Dialer = &net.Dialer{}
+	}
 	if options.Log == nil {
 		options.Log = NewRequestLog(zerolog.Nop())
 	}
@@ -189,9 +204,15 @@
 		tokens:             chain.NewTokens(),
 	}
 	r.calls.Store(rand.Uint64())
+	r.crashWatch = &crashWatch{ctx: options.Background, relay: r}
 	return r
 }
 
+// Wait waits for the work that outlasts requests. The context Background must have ended.
+func (r *Relay) Wait() {
+	r.crashWatch.workers.Wait()
+}
+
 // DisableKeepAlives makes the relay ask callers to close their connections after
 // the next response.
 func (r *Relay) DisableKeepAlives() {
--- a/internal/request/relay/waits_test.go
+++ b/internal/request/relay/waits_test.go
@@ -131,7 +131,7 @@
 	for i := range count {
 		self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(2 + i)}), 1)
 		node := newRelay(t, self, netip.MustParseAddrPort(upstreamOfPipes))
-		node.Pool = pool.New(pool.WithDialer(n))
+		node.Dialer, node.Pool = n, pool.New(pool.WithDialer(n))
 		listener := &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
 		n.servers[self.String()] = listener
 		listener.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
