Send the last crash reports before a node stops

Cause: a node that stops waits for its calls, and so for the probe that follows a broken answer, but not for the report of the crash. One of the last moments was queued, and lost with the process: the store never had it, and neighbours had it only if the last news took long enough.

Ruled out: a probe that is cut by the stop (calls in flight are awaited).

Change: after its last news a node waits until its reports have been sent and written, within the 300 ms that it has for the last news.

Conclusion: mended, but for a store that does not answer within that time.

--- a/internal/process/crash/agent.go
+++ b/internal/process/crash/agent.go
@@ -5,12 +5,14 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
 	"github.com/wasabibend/wasabibend/internal/conn/wire"
+	"github.com/wasabibend/wasabibend/internal/pause"
 	"github.com/wasabibend/wasabibend/internal/process/member"
 	"github.com/wasabibend/wasabibend/internal/version/kinds"
 )
@@ -45,7 +47,8 @@
 	members *member.Table
 	mesh    Mesh
 	queue   chan Report
-	saver   *Saver // nil for none
+	saver   *Saver       // nil for none
+	unsent  atomic.Int32 // reports in the queue, and the one that is being sent
 
 	mu          sync.Mutex    // acquired before the table's
 	cleared     []Fingerprint // to be reported
@@ -138,6 +141,20 @@
 				_ = a.mesh.Send(sendCtx, peer, wire.KindQuarantine, report)
 				cancel()
 			}
+			a.unsent.Add(-1)
+		}
+	}
+}
+
+// flushPoll is how often Flush checks whether a report waits.
+const flushPoll = 5 * time.Millisecond
+
+// Flush waits until all reports have been sent and written to the platform's store, or the
+// context ends.
+func (a *Agent) Flush(ctx context.Context) {
+	for a.unsent.Load() > 0 || a.saver != nil && a.saver.pends() {
+		if pause.For(ctx, flushPoll) != nil {
+			return
 		}
 	}
 }
@@ -205,9 +222,11 @@
 // enqueue queues a report to be sent. If the queue is full, it drops the report,
 // as the next crash brings another.
 func (a *Agent) enqueue(report Report) {
+	a.unsent.Add(1)
 	select {
 	case a.queue <- report:
 	default:
+		a.unsent.Add(-1)
 	}
 }
 
--- a/internal/process/crash/saver.go
+++ b/internal/process/crash/saver.go
@@ -127,6 +127,13 @@
 	return nil
 }
 
+// pends reports whether a report has not been written yet.
+func (s *Saver) pends() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending) > 0
+}
+
 func (s *Saver) read(ctx context.Context) (store.Object, error) {
 	object, err := s.store.Get(ctx, s.key)
 	if errors.Is(err, store.ErrNotFound) {
--- a/internal/process/node/crashes_test.go
+++ b/internal/process/node/crashes_test.go
@@ -97,6 +97,37 @@
 	f.stop()
 }
 
+// TestCrashAtStop guards against a crash that is noticed in the last moments of a planned stop,
+// and of which neither the other nodes nor the store are told.
+func TestCrashAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCallFleet(2 * fleetZones)
+		operator := f.platform.NewMemoryStore()
+		f.write(t, operator, 1)
+		f.platform.SetFaults(objapi.Faults{Delay: storeDelay})
+		f.start(t, true)
+		time.Sleep(20 * time.Second)
+		stopping := f.nodes[1]
+		settings := *stopping.settings.Load()
+		settings.Drain, settings.LameDuck = 5*time.Second, 2*time.Second
+		stopping.settings.Store(&settings)
+		time.AfterFunc(settings.LameDuck, func() { f.crash(t, stopping, crashesUpstreams) })
+		stopping.drain(stopping.ctx, nil)
+		f.cancels[1]()
+		f.net.Remove(f.addresses[1])
+		time.Sleep(time.Second)
+		stored, err := operator.Get(t.Context(), kinds.CrashesKey("zone1"))
+		assert.NilError(t, err)
+		var crashes kinds.Crashes
+		assert.NilError(t, kinds.DecodeCrashes(stored.Key, stored.Value, &crashes))
+		assert.Equal(t, len(crashes.Suspects), 1, "suspects in the store")
+		for i, n := range f.nodes {
+			assert.Equal(t, len(n.crashes.State(time.Now()).Suspects), 1, "suspects that node %d knows", i)
+		}
+		f.stop()
+	})
+}
+
 // crash lets a request crash the upstream beside a node.
 func (f *callFleet) crash(t *testing.T, n *Node, request crash.Fingerprint) {
 	t.Helper()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -35,7 +35,8 @@
 const (
 	drainPoll = 20 * time.Millisecond
 	// lastNewsTimeout limits how long a node that has drained waits for neighbours that do
-	// not take its last message, as it is killed when the grace time is over.
+	// not take its last messages, and for the store, as it is killed when the grace time is
+	// over.
 	lastNewsTimeout = 300 * time.Millisecond
 	headerTimeout   = 10 * time.Second
 	idleTimeout     = 2 * time.Minute
@@ -395,6 +396,7 @@
 	lastCtx, cancelLast := context.WithTimeout(ctx, lastNewsTimeout)
 	defer cancelLast()
 	n.agent.SendToNeighbours(lastCtx, []member.Record{n.table.SetSelfDead(time.Now())})
+	n.crashes.Flush(lastCtx)
 }
 
 // shutdownServer shuts down the callers' server without losing requests. It accepts
