Take no upstream for crashed because a probe got no answer

Cause: the probe of an upstream has 50 ms to connect, and any error of it counted as a crash. On a node short of processor time a connect to a living upstream can run out of that time. More probes are made now, one for each answer that breaks off, and each false crash makes suspects of all requests in flight.

Ruled out: that a crash is missed by this. An upstream runs on the host of its node, which refuses connections to a process that has ended, at once.

Change: a connect that gets no answer in time tells nothing of the upstream.

Evidence: TestProbeWithoutAnswer, failing before. Not seen on real processes.

--- a/internal/request/relay/crashed.go
+++ b/internal/request/relay/crashed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -54,14 +55,16 @@
 }
 
 // acceptsConnections reports whether a process accepts and keeps a connection at an
-// address. The listener of a process that is terminating may still accept
+// address, or may do so. The listener of a process that is terminating may still accept
 // connections, but they are closed at once.
 func (r *Relay) acceptsConnections(address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(r.Background, probeTimeout)
 	defer cancel()
 	c, err := r.Dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return r.Background.Err() != nil // nothing is known of the upstream then
+		var netErr net.Error
+		// Nothing is known of the upstream if the node ends, or if no answer came in time.
+		return r.Background.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
 	}
 	defer c.Close()
 	if err := c.SetReadDeadline(time.Now().Add(probeTimeout)); err != nil {
--- a/internal/request/relay/peer_test.go
+++ b/internal/request/relay/peer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -35,3 +36,21 @@
 	assert.NilError(t, listener.Close())
 	assert.Check(t, !r.acceptsConnections(netip.AddrPortFrom(address.Addr(), address.Port())), "the listener is closed")
 }
+
+// TestProbeWithoutAnswer guards against a living upstream that counts as crashed because its
+// node is short of processor time: the probe then ends without an answer. The host of an
+// upstream that has ended refuses connections at once.
+func TestProbeWithoutAnswer(t *testing.T) {
+	r := newRelay(t, netip.AddrPort{}, netip.AddrPort{})
+	r.Dialer = silentDialer{}
+	assert.Check(t, r.acceptsConnections(netip.MustParseAddrPort("127.0.0.1:1")))
+}
+
+// silentDialer is a pool.Dialer that gets no answer.
+type silentDialer struct{}
+
+// DialContext implements pool.Dialer.
+func (silentDialer) DialContext(ctx context.Context, network, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+}
