Let a stopping entry use nodes that stop when those that stay refuse

Cause: "Prefer nodes that stay at a stopping entry" left out the nodes that stop for all attempts. When all that stay had refused a call, it was refused, although a node that stops could have run it. Found on rereading.

Change: nodes that stop are left out only as long as one that stays was not tried.

Evidence: TestStoppingEntryPrefersStaying, with a case for it ("all that stay have refused"). Not seen on real processes.

--- a/internal/request/relay/session.go
+++ b/internal/request/relay/session.go
@@ -148,6 +148,7 @@
 			last = moreSpecific(last, none)
 			break
 		}
+		nodes = s.relay.preferStaying(nodes, tried)
 		node, ok := s.relay.balancer.Choose(now, nodes, tried)
 		if !ok || (refusal != nil && !s.mayTryNextNode(refusal)) {
 			break
@@ -183,9 +184,6 @@
 	if evacuated || regions != nil {
 		nodes = r.filter(nodes, regions)
 	}
-	if r.finish.Load() != nil {
-		nodes = r.preferStaying(nodes)
-	}
 	switch {
 	case len(nodes) > 0:
 		return nodes, nil
@@ -216,17 +214,20 @@
 	return kept
 }
 
-// preferStaying returns the nodes that are not about to stop and this one, or all nodes if no
-// other one stays: a node that stops earlier than this one would cut a call that this one still
-// has time to answer.
-func (r *Relay) preferStaying(nodes []member.Record) []member.Record {
+// preferStaying returns, at a node that is about to stop, the nodes that are not and this one: a
+// node that stops earlier than this one would cut a call that this one still has time to
+// answer. It returns all nodes if no other one stays that was not tried.
+func (r *Relay) preferStaying(nodes []member.Record, tried []netip.AddrPort) []member.Record {
+	if r.finish.Load() == nil {
+		return nodes
+	}
 	var kept []member.Record
 	staying := false
 	for i := range nodes {
 		if nodes[i].Leaving && nodes[i].Peers != r.Self {
 			continue
 		}
-		staying = staying || !nodes[i].Leaving
+		staying = staying || !nodes[i].Leaving && !contains(tried, nodes[i].Peers)
 		kept = append(kept, nodes[i])
 	}
 	if !staying {
--- a/internal/request/relay/staying_test.go
+++ b/internal/request/relay/staying_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 		self := netip.MustParseAddrPort("10.0.0.1:1")
 		r := newRelay(t, self, netip.AddrPort{})
 		names := map[netip.AddrPort]string{}
+		var tried []netip.AddrPort
 		for i, name := range strings.Fields(record[2]) {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 1)
 			stops := strings.HasSuffix(name, "!")
@@ -33,6 +35,9 @@
 				r.Table.Merge(now, []member.Record{{Health: member.Alive, Incarnation: 1, Leaving: stops, Peers: address, Readiness: member.Ready, Service: "ledger", Zone: "zone"}})
 			}
 			names[address] = name
+			if slices.Contains(strings.Fields(record[3]), name) {
+				tried = append(tried, address)
+			}
 		}
 		if record[1] == "stops" {
 			r.FinishBy(now.Add(time.Minute), now.Add(time.Second))
@@ -40,11 +45,11 @@
 		nodes, refusal := r.candidates("ledger", nil)
 		assert.Check(t, refusal == nil, "%v", refusal)
 		got := map[string]bool{}
-		for _, n := range nodes {
+		for _, n := range r.preferStaying(nodes, tried) {
 			got[names[n.Peers]] = true
 		}
 		want := map[string]bool{}
-		for _, name := range strings.Fields(record[3]) {
+		for _, name := range strings.Fields(record[4]) {
 			want[name] = true
 		}
 		assert.DeepEqual(t, got, want)
