Take fewer late requests at a stop for sub-calls

Cause: a request without a key counts as a sub-call if the local upstream runs a request that ends at most 250 ms earlier. Callers with the same time limit who come within 250 ms of that one do, too.

Change: once a stopping node accepts only requests that certainly end in time, the 250 ms are 20 ms.

Conclusion: mended but for callers who come within 20 ms of a request that was accepted before and still runs.

--- a/internal/request/relay/finish.go
+++ b/internal/request/relay/finish.go
@@ -103,11 +103,18 @@
 // does, once the node accepts only requests that certainly end in time. The upstream that
 // runs it then gives up in time for the answer to reach the caller.
 func (r *Relay) limitSubCall(now time.Time, p *policy) {
-	if end := r.finish.Load(); p.subCall && end != nil && !now.Before(end.provenFrom) {
-		p.timeout = min(p.timeout, max(end.by.Sub(now)-finishMargin, 0))
+	if p.subCall && r.acceptsOnlyProven(now) {
+		p.timeout = min(p.timeout, max(r.finish.Load().by.Sub(now)-finishMargin, 0))
 	}
 }
 
+// acceptsOnlyProven reports whether the node is about to stop and accepts only requests that
+// certainly end in time.
+func (r *Relay) acceptsOnlyProven(now time.Time) bool {
+	end := r.finish.Load()
+	return end != nil && !now.Before(end.provenFrom)
+}
+
 // mayStillFinish reports whether a request that was accepted earlier, and has waited since,
 // still ends before the node does. Sub-calls end with their root requests.
 func (s *session) mayStillFinish(now time.Time) bool {
--- a/internal/request/relay/opencallers_test.go
+++ b/internal/request/relay/opencallers_test.go
@@ -58,7 +58,8 @@
 		r.rootDurations.record(now, "reserve", took)
 	}
 	left, _ := duration(t, record[4])
-	r.FinishBy(now.Add(left), now.Add(left))
+	proven, _ := duration(t, record[6])
+	r.FinishBy(now.Add(left), now.Add(proven))
 	if record[5] == "closed" {
 		r.CloseEntry()
 	}
@@ -67,7 +68,7 @@
 	request.Host = "x"
 	r.ServeCaller(w, request)
 	want := refuse.Draining
-	if record[6] == "yes" {
+	if record[7] == "yes" {
 		want = refuse.NoUpstream
 	}
 	assert.Equal(t, w.Header().Get("Wasabibend-Refusal"), string(want))
--- a/internal/request/relay/policy.go
+++ b/internal/request/relay/policy.go
@@ -149,11 +149,20 @@
 // its own deadline. The upstream counts from when it reads the request.
 const subCallSlack = 250 * time.Millisecond
 
+// lateSubCallSlack takes the place of subCallSlack once a stopping node accepts only requests
+// that certainly end in time: a caller's request counts as a sub-call if it came so soon after
+// the one that the upstream runs, with the same time limit.
+const lateSubCallSlack = 20 * time.Millisecond
+
 // maySubCall reports whether a request on a connection without a key may come from the local upstream. It
 // makes sub-calls only while it runs requests, and a sub-call ends with its request at the
 // latest. Any other request is a caller's.
 func (r *Relay) maySubCall(now time.Time, info CallerInfo) bool {
-	return r.tokens.AnyRunningAt(now.Add(info.Timeout - subCallSlack))
+	slack := subCallSlack
+	if r.acceptsOnlyProven(now) {
+		slack = lateSubCallSlack
+	}
+	return r.tokens.AnyRunningAt(now.Add(info.Timeout - slack))
 }
 
 // withCustomer returns the policy with the settings of the customer to which a key
