Take the end of an upstream that leaves for no crash

Cause: since crashes within answers are looked for, an upstream that ends as planned while long answers are in flight counts as crashed, and two such ends can quarantine a request that is innocent but had not succeeded yet at the second node. Found by reading; no run showed it.

Change: the end of an instance that has said that it leaves is no crash, for failed sends, broken answers and the watch after calls that ended early. The watch also names the instance of the last call, not that of the first.

Evidence: three cases of TestCrashWithinAnswer and TestLateCrash, failing before.

Conclusion: a request that crashes upstreams which are about to leave is suspected only at one that stays.

--- a/internal/process/node/upstream.go
+++ b/internal/process/node/upstream.go
@@ -306,6 +306,14 @@
 	return false
 }
 
+// Leaving reports whether an instance of the upstream is draining, also if it is down since. It
+// implements relay.LocalUpstream.
+func (u *upstream) Leaving(instance string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.current.Instance == instance && u.current.Draining
+}
+
 // MarkDown marks an instance of the upstream as down, because a request to it failed: it is
 // absent until it announces itself again. It has no effect once another instance has
 // announced itself. It implements relay.LocalUpstream.
--- a/internal/request/relay/answercrash_test.go
+++ b/internal/request/relay/answercrash_test.go
@@ -24,11 +24,12 @@
 // they answer it, because a crash is looked for only before the answer.
 func TestCrashWithinAnswer(t *testing.T) {
 	steps.Cases(t, "testdata/answercrashes.csv", func(t *testing.T, record []string) {
-		upstream := newBreakingUpstream(t, record[2], record[3] == "reset", record[4] == "gone")
+		upstream := newBreakingUpstream(t, record[2], record[3] == "reset", record[4] != "alive")
 		r := newRelay(t, netip.AddrPort{}, upstream.address)
 		r.Catalog = snaps.NewHolder() // answers may lack a length
 		r.Dialect = refusingDialect{}
 		r.SetRetryBounds(1, 100, 1, 1)
+		r.Local.(fakeDeps).leaving.Store(record[4] == "leaving")
 		crashes := &countedCrashes{Table: crash.NewTable()}
 		r.Crashes = crashes
 		w := httptest.NewRecorder()
--- a/internal/request/relay/bench_test.go
+++ b/internal/request/relay/bench_test.go
@@ -35,6 +35,7 @@
 	*crash.Table
 	address netip.AddrPort
 	left    *atomic.Bool // the upstream has left
+	leaving *atomic.Bool // the upstream has said that it leaves
 }
 
 // Accepts implements LocalUpstream.
@@ -52,6 +53,11 @@
 	return func() {}, nil
 }
 
+// Leaving implements LocalUpstream.
+func (f fakeDeps) Leaving(string) bool {
+	return f.leaving.Load()
+}
+
 // MarkDown implements LocalUpstream.
 func (fakeDeps) MarkDown(string) {}
 
@@ -120,7 +126,7 @@
 	assert.NilError(tb, err)
 	table := member.NewTable(time.Now(), member.Record{Peers: self, Readiness: member.Absent, Zone: "zone"})
 	table.Merge(time.Now(), members)
-	f := fakeDeps{Table: crash.NewTable(), address: upstream, left: &atomic.Bool{}}
+	f := fakeDeps{Table: crash.NewTable(), address: upstream, leaving: &atomic.Bool{}, left: &atomic.Bool{}}
 	return New(Options{
 		Admitter: f, Claimer: f, Config: config, Crashes: f, FirstByte: time.Minute, Gate: gates.NewGate(gates.Static(100)),
 		Idle: time.Minute, InFlight: 1000, Local: f, Pool: pool.New(), Secret: secret, Self: self, Stats: stats.New(),
--- a/internal/request/relay/crashed.go
+++ b/internal/request/relay/crashed.go
@@ -38,8 +38,17 @@
 		lc.mayStillRun = true
 		return false
 	}
-	lc.relay.Local.MarkDown(lc.instance)
-	lc.relay.Crashes.ReportCrash(time.Now())
+	return lc.relay.recordEnd(time.Now(), lc.instance)
+}
+
+// recordEnd marks an instance of the upstream that has ended as down. It reports whether it
+// crashed, and tells the other nodes: one that has said that it leaves ends as planned.
+func (r *Relay) recordEnd(now time.Time, instance string) (crashed bool) {
+	r.Local.MarkDown(instance)
+	if r.Local.Leaving(instance) {
+		return false
+	}
+	r.Crashes.ReportCrash(now)
 	return true
 }
 
@@ -48,7 +57,7 @@
 func (lc *localCall) endRun(now time.Time, failed bool) {
 	r := lc.relay
 	if lc.mayStillRun && !r.Crashes.Innocent(now, lc.running.Chain.Fingerprint) {
-		r.crashWatch.begin(now, lc.address, lc.instance, lc.run)
+		r.crashWatch.begin(now, lc)
 		return
 	}
 	r.Crashes.End(now, lc.run, !failed)
--- a/internal/request/relay/crashwatch.go
+++ b/internal/request/relay/crashwatch.go
@@ -11,7 +11,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wasabibend/wasabibend/internal/pause"
-	"github.com/wasabibend/wasabibend/internal/process/crash"
 )
 
 // lateCrashTime is for how long a request whose call has ended without a whole response may be
@@ -25,30 +24,39 @@
 	relay   *Relay
 	workers conc.WaitGroup
 
-	mu       sync.Mutex
-	until    time.Time // end of the watch
-	watching bool
+	mu      sync.Mutex
+	running bool
+	watched watched
 }
 
-// begin keeps a run in flight for lateCrashTime, and watches the upstream for as long.
-func (w *crashWatch) begin(now time.Time, address netip.AddrPort, instance string, run *crash.Run) {
-	time.AfterFunc(lateCrashTime, func() { w.relay.Crashes.End(now.Add(lateCrashTime), run, false) })
+// watched is what is watched, and for how long.
+type watched struct {
+	address  netip.AddrPort
+	instance string // of the upstream
+	until    time.Time
+}
+
+// begin keeps the run of a call in flight for lateCrashTime, and watches the upstream for as
+// long.
+func (w *crashWatch) begin(now time.Time, lc *localCall) {
+	run, until := lc.run, now.Add(lateCrashTime)
+	time.AfterFunc(lateCrashTime, func() { w.relay.Crashes.End(until, run, false) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.until = now.Add(lateCrashTime)
-	if w.watching || w.ctx.Err() != nil {
+	w.watched = watched{address: lc.address, instance: lc.instance, until: until}
+	if w.running || w.ctx.Err() != nil {
 		return
 	}
-	w.watching = true
-	w.workers.Go(func() { w.watch(address, instance) })
+	w.running = true
+	w.workers.Go(w.run)
 }
 
-// watch reports a crash if the upstream ends before the watch is over.
-func (w *crashWatch) watch(address netip.AddrPort, instance string) {
+// run reports a crash if the upstream ends before the watch is over.
+func (w *crashWatch) run() {
 	for w.continues(time.Now()) {
+		address := w.current().address
 		if w.awaitEnd(address) && !w.relay.acceptsConnections(address) {
-			w.relay.Local.MarkDown(instance)
-			w.relay.Crashes.ReportCrash(time.Now())
+			w.relay.recordEnd(time.Now(), w.current().instance)
 			w.stop()
 			return
 		}
@@ -64,22 +72,22 @@
 func (w *crashWatch) continues(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.watching = now.Before(w.until)
-	return w.watching
+	w.running = now.Before(w.watched.until)
+	return w.running
 }
 
-// end returns when the watch is over, unless another call extends it.
-func (w *crashWatch) end() time.Time {
+// current returns what is watched, which each call that ends may change.
+func (w *crashWatch) current() watched {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.until
+	return w.watched
 }
 
 // stop ends the watch.
 func (w *crashWatch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.watching = false
+	w.running = false
 }
 
 // awaitEnd waits until the watch is over or a connection to the upstream ends, and reports
@@ -93,7 +101,7 @@
 	}
 	defer context.AfterFunc(w.ctx, func() { _ = c.Close() })()
 	defer c.Close()
-	for until := w.end(); time.Now().Before(until); until = w.end() {
+	for until := w.current().until; time.Now().Before(until); until = w.current().until {
 		if err := c.SetReadDeadline(until); err != nil {
 			return false
 		}
--- a/internal/request/relay/latecrash_test.go
+++ b/internal/request/relay/latecrash_test.go
@@ -47,6 +47,7 @@
 	now := time.Now()
 	r := newRelay(t, netip.AddrPort{}, netip.MustParseAddrPort(upstreamOfPipes))
 	r.Dialer, r.Pool = u, pool.New(pool.WithDialer(u))
+	r.Local.(fakeDeps).leaving.Store(record[4] == "leaves")
 	crashes := &countedCrashes{Table: crash.NewTable()}
 	r.Crashes = crashes
 	switch record[1] {
@@ -129,7 +130,7 @@
 	defer c.Close()
 	if u.watched != "runs on" {
 		time.Sleep(2 * probeTimeout) // longer than a probe lasts
-		u.crashed.Store(u.watched == "crashes")
+		u.crashed.Store(u.watched != "closes")
 		return
 	}
 	_, _ = io.Copy(io.Discard, c)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -94,6 +94,8 @@
 	// upstream may still be sent to it. An instance that leaves takes such requests for a
 	// short time.
 	Accepts(now time.Time, instance string) bool
+	// Leaving reports whether an instance of the upstream has said that it is about to end.
+	Leaving(instance string) bool
 	// MarkDown marks an instance of the upstream as down until it announces itself again.
 	MarkDown(instance string)
 	// MarkLeaving marks an instance of the upstream as about to end. It takes no new
