--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -352,11 +352,11 @@
 // drain stops serving without interrupting requests, within the drain time of the
 // settings. First the node keeps serving for the lame-duck time, while callers and
 // other nodes learn that it is leaving; near its end it marks the upstream beside
-// it as draining and sends it no new requests. All the while it refuses requests that would
-// probably not end within the drain time, and after estimateTime all whose time limit does not. Then it refuses new requests of
-// callers and waits for those in flight, which include the calls that the upstream
-// makes to serve them. Meanwhile it hands its allocators over to other nodes. At
-// the end it tells its neighbours that it is dead.
+// it as draining and sends it no new requests. All the while it refuses requests that
+// would probably not end within the drain time, and after estimateTime all whose time
+// limit does not. Then it refuses new requests of callers and waits for those in flight,
+// which include the calls that the upstream makes to serve them. Meanwhile it hands its
+// allocators over to other nodes. At the end it tells its neighbours that it is dead.
 func (n *Node) drain(ctx context.Context, servers []*server) {
 	n.log.Info().Dur("Within", n.settings.Load().Drain).Msg("node is draining")
 	began := time.Now()
