Start the fleets of the crash tests in one place

Cause: TestCrashWithinAnswerIsQuarantined repeated the first lines of TestKillOfAllForgetsNoCrash.

Change: startRevivedFleet serves both; what they check is as before. The comment of checkCrash says what becomes of a request that may still run.

Evidence: both tests pass. GOARCH=arm64 CGO_ENABLED=0 go vet ./... and go build ./... pass on this commit; no test was run on arm64.

--- a/internal/cmds/soak/crash_test.go
+++ b/internal/cmds/soak/crash_test.go
@@ -27,22 +27,9 @@
 // TestKillOfAllForgetsNoCrash guards against a request that crashes upstreams again after all
 // nodes were killed at once, on real processes.
 func TestKillOfAllForgetsNoCrash(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	b, err := startTestbed(ctx, t.TempDir(), 6, buildPrograms(t))
-	assert.NilError(t, err)
-	defer b.close()
-	o := newOperator(b.fleet.PlatformURL)
-	assert.NilError(t, b.fleet.StartPlatform(ctx))
-	assert.NilError(t, o.writeInitial(ctx))
-	assert.NilError(t, b.fleet.StartHosts(ctx))
-	reviveCtx, endRevive := context.WithCancel(ctx)
-	var workers conc.WaitGroup
-	defer workers.Wait()
-	defer endRevive()
-	for _, host := range b.fleet.Hosts {
-		workers.Go(func() { revive(reviveCtx, host.Upstream) })
-	}
+	ctx := t.Context()
+	b, o, stop := startRevivedFleet(ctx, t)
+	defer stop()
 	assert.NilError(t, procs.Await(ctx, func() error { return sendCrashing(ctx, b.fleet.Hosts[3], "", 0) }))
 	assert.NilError(t, procs.Await(ctx, func() error { return storedQuarantine(ctx, o) }))
 	before := b.crashRuns(t)
@@ -65,20 +52,10 @@
 // TestCrashWithinAnswerIsQuarantined guards against a request that crashes upstreams within
 // their answer each time that it comes, on real processes.
 func TestCrashWithinAnswerIsQuarantined(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	b, err := startTestbed(ctx, t.TempDir(), 6, buildPrograms(t))
-	assert.NilError(t, err)
-	defer b.close()
-	assert.NilError(t, b.fleet.StartPlatform(ctx))
-	assert.NilError(t, newOperator(b.fleet.PlatformURL).writeInitial(ctx))
-	assert.NilError(t, b.fleet.StartHosts(ctx))
-	reviveCtx, endRevive := context.WithCancel(ctx)
-	var workers conc.WaitGroup
-	defer workers.Wait()
-	defer endRevive()
+	ctx := t.Context()
+	b, _, stop := startRevivedFleet(ctx, t)
+	defer stop()
 	for _, host := range b.fleet.Hosts {
-		workers.Go(func() { revive(reviveCtx, host.Upstream) })
 		assert.NilError(t, procs.Await(ctx, func() error { return sendLookup(ctx, host) }))
 	}
 	for _, part := range []string{mimic.CrashHead, mimic.CrashBody} {
@@ -102,6 +79,34 @@
 	newsTime = 500 * time.Millisecond
 )
 
+// startRevivedFleet starts six hosts with the operator's initial configuration, whose upstreams
+// are started again whenever they have ended. It returns a function that ends everything.
+func startRevivedFleet(ctx context.Context, t *testing.T) (b *testbed, o *operator, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(ctx)
+	b, err := startTestbed(ctx, t.TempDir(), 6, buildPrograms(t))
+	assert.NilError(t, err)
+	var workers conc.WaitGroup
+	reviveCtx, endRevive := context.WithCancel(ctx)
+	stop = func() {
+		endRevive()
+		workers.Wait()
+		b.close()
+		cancel()
+	}
+	o = newOperator(b.fleet.PlatformURL)
+	for _, step := range []func(context.Context) error{b.fleet.StartPlatform, o.writeInitial, b.fleet.StartHosts} {
+		if err := step(ctx); err != nil {
+			stop()
+			t.Fatal(err)
+		}
+	}
+	for _, host := range b.fleet.Hosts {
+		workers.Go(func() { revive(reviveCtx, host.Upstream) })
+	}
+	return b, o, stop
+}
+
 // revive starts a process again whenever it has ended, until the context ends.
 func revive(ctx context.Context, process *procs.Process) {
 	for ctx.Err() == nil {
--- a/internal/request/relay/crashed.go
+++ b/internal/request/relay/crashed.go
@@ -23,7 +23,7 @@
 
 // checkCrash checks after a failed send, or a response that broke off, whether the upstream is
 // down and, if so, marks it as down. It reports whether the upstream crashed while it was
-// running the request.
+// running the request. If the upstream may still run it, endRun goes on to watch it.
 func (lc *localCall) checkCrash(err error) bool {
 	var sendErr *pool.SendError
 	unsent := errors.As(err, &sendErr) && !sendErr.Sent
